Serve a prompt and an unlock end to end with real processes

Entry and steward run on each host, stand-ins take the platform's and the runners' place, and the operators' command line checks and publishes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format bench capacity env
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: env
+	$(BIN)/python examples/demo.py
+
+test: env
+	$(BIN)/python -m pytest tests
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: env
+	$(BIN)/python -m bench
+
+capacity: env
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts whole deployments on loopback, for the demo, tests and benchmarks."""
--- /dev/null
+++ b/harness/deployment.py
@@ -0,0 +1,224 @@
+"""A deployment of real processes on loopback."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Self
+
+from lacewinglug.config.loading import load_config
+from lacewinglug.config.objects import Fleet
+
+_EXAMPLE_PORT = re.compile(r"\b87(\d\d)\b")
+_PORT_COUNT = 100
+_PLATFORM_PORT = 0
+_START_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 20.0
+_POLL_INTERVAL_S = 0.05
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+class DeploymentError(Exception):
+    """A process of the deployment did not start or stop in time."""
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """Processes of one example deployment, on free ports.
+
+    :param example: name of the folder below ``examples``.
+    :param folder: empty folder for configuration, settings and logs.
+    """
+
+    example: str
+    folder: Path
+    base_port: int = 0
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.base_port = self.base_port or find_port_block()
+        self.config_folder.mkdir(parents=True)
+        for path in (EXAMPLES / self.example).glob("*.toml"):
+            text = _EXAMPLE_PORT.sub(self._shift_port, path.read_text())
+            (self.config_folder / path.name).write_text(text)
+
+    def _shift_port(self, match: re.Match[str]) -> str:
+        return str(self.base_port + int(match.group(1)))
+
+    def __enter__(self) -> Self:
+        """Return the deployment."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop every process."""
+        self.stop_all()
+
+    @property
+    def config_folder(self) -> Path:
+        """Folder of the configuration with the deployment's own ports."""
+        return self.folder / "config"
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform's stand-in."""
+        return f"http://127.0.0.1:{self.base_port + _PLATFORM_PORT}"
+
+    @property
+    def fleet(self) -> Fleet:
+        """The configuration of the deployment."""
+        checked = load_config(self.config_folder)
+        if checked.fleet is None:
+            raise DeploymentError("\n".join(str(item) for item in checked.problems))
+        return checked.fleet
+
+    def entry_url(self, host: str) -> str:
+        """Return the base URL of an entry host."""
+        item = self.fleet.hosts[host]
+        return f"http://{item.address}:{item.entry_port}"
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        port = self.base_port + _PLATFORM_PORT
+        self._start("platform", "standin", "platform", "--port", str(port))
+        self.wait_url("platform", f"{self.platform_url}/hosts")
+
+    def start_runners(self, names: list[str] | None = None, *options: str) -> None:
+        """Start stand-ins of runners, by default all of them."""
+        fleet = self.fleet
+        for name in names or list(fleet.runners):
+            runner = fleet.runners[name]
+            kind = fleet.services[runner.service].kind
+            standin = ["engine"] if kind == "model" else ["service"]
+            if kind == "model" and not runner.checks_fencing:
+                standin.append("--ignores-fencing")
+            port = runner.url.rpartition(":")[2]
+            self._start(name, "standin", *standin, "--port", port, *options)
+        for name in names or list(fleet.runners):
+            self.wait_url(name, f"{fleet.runners[name].url}/load")
+
+    def start_hosts(self, names: list[str] | None = None) -> None:
+        """Start steward and entry of hosts, by default of all."""
+        for name in names or list(self.fleet.hosts):
+            self.start_steward(name)
+            self.start_entry(name)
+
+    def start_steward(self, host: str) -> None:
+        """Start the steward of a host."""
+        path = self._write_settings(host)
+        self._start(f"{host}.steward", "steward", "--settings", str(path))
+
+    def start_entry(self, host: str) -> None:
+        """Start the entry of a host."""
+        path = self._write_settings(host)
+        self._start(f"{host}.entry", "entry", "--settings", str(path))
+
+    def _write_settings(self, host: str) -> Path:
+        item = self.fleet.hosts[host]
+        path = self.folder / f"{host}.toml"
+        path.write_text(
+            f'[host]\nname = "{host}"\n'
+            f'availability_zone = "{item.availability_zone}"\n'
+            f'address = "{item.address}"\n\n'
+            f'[platform]\nlog_url = "{self.platform_url}"\n'
+            f'host_list_url = "{self.platform_url}"\n'
+            f'weight_store_url = "{self.platform_url}"\n\n'
+            f"[entry]\nport = {item.entry_port}\n\n"
+            f"[steward]\ncontrol_port = {item.control_port}\n"
+        )
+        return path
+
+    def _start(self, name: str, program: str, *arguments: str) -> None:
+        script = Path(sys.executable).parent / f"lacewinglug-{program}"
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [str(script), *arguments], stdout=log, stderr=log
+            )
+
+    def run_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command line against this deployment."""
+        script = Path(sys.executable).parent / "lacewinglug"
+        environment = os.environ | {
+            "LACEWINGLUG_LOG_URL": self.platform_url,
+            "LACEWINGLUG_ENTRY_URL": self.entry_url(next(iter(self.fleet.hosts))),
+            "LACEWINGLUG_OPERATOR": "operator",
+        }
+        return subprocess.run(
+            [str(script), *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def publish(self) -> str:
+        """Publish the configuration and return what the command printed."""
+        done = self.run_command("publish", str(self.config_folder))
+        if done.returncode != 0:
+            raise DeploymentError(done.stderr)
+        return done.stdout
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def wait_url(self, name: str, url: str) -> None:
+        """Wait until a process answers at a URL."""
+        deadline_s = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            if self.processes[name].poll() is not None:
+                raise DeploymentError(f"{name} ended:\n{self.read_log(name)}")
+            try:
+                with urllib.request.urlopen(url, timeout=1.0):
+                    return
+            except (urllib.error.URLError, OSError):
+                time.sleep(_POLL_INTERVAL_S)
+        raise DeploymentError(f"{name} does not answer:\n{self.read_log(name)}")
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def stop(self, name: str) -> int:
+        """Stop one process gracefully and return its exit status."""
+        process = self.processes.pop(name)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        try:
+            return process.wait(timeout=_STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def stop_all(self) -> None:
+        """Stop every process, gracefully where it works."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for name in list(self.processes):
+            self.stop(name)
+
+
+def find_port_block() -> int:
+    """Return the first of a block of free ports."""
+    for base_port in range(20000, 32000, _PORT_COUNT):
+        if all(_is_free(base_port + index) for index in range(_PORT_COUNT)):
+            return base_port
+    raise DeploymentError("no free block of ports on loopback")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/lacewinglug/config/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's configuration: named objects, their checks and their revisions."""
--- /dev/null
+++ b/lacewinglug/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: takes requests of callers and relays them to runners."""
--- /dev/null
+++ b/lacewinglug/entry/link.py
@@ -0,0 +1,69 @@
+"""Keeps an entry in touch with its local steward."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import zmq
+import zmq.asyncio
+
+from lacewinglug.control import (
+    ConfigView,
+    EntryHello,
+    StatusView,
+    decode_message,
+    encode_message,
+)
+from lacewinglug.entry.view import EntryView
+
+HELLO_INTERVAL_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True)
+class StewardLink:
+    """Owns the socket to the steward and the entry's view of the fleet.
+
+    :param address: ZeroMQ endpoint of the steward.
+    :param view: updated with what the steward says.
+    :param make_hello: returns the heartbeat to send.
+    """
+
+    address: str
+    view: EntryView
+    make_hello: Callable[[], EntryHello]
+
+    async def run(self) -> None:
+        """Exchange heartbeats and views until cancelled."""
+        context = zmq.asyncio.Context.instance()
+        socket = context.socket(zmq.DEALER)
+        socket.linger = 0
+        socket.connect(self.address)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._send_hellos(socket))
+                group.create_task(self._receive(socket))
+        finally:
+            socket.close()
+
+    async def _send_hellos(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            await socket.send(encode_message(self.make_hello()))
+            await asyncio.sleep(HELLO_INTERVAL_S)
+
+    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            match decode_message(await socket.recv()):
+                case ConfigView() as view:
+                    before = self.view.revision
+                    if self.view.update_config(view) and view.revision != before:
+                        logger.info(
+                            "configuration in force",
+                            extra={"revision": view.revision},
+                        )
+                case StatusView() as view:
+                    self.view.update_status(view)
+                case _:
+                    logger.warning("unexpected message from the steward")
--- /dev/null
+++ b/lacewinglug/entry/process.py
@@ -0,0 +1,84 @@
+"""Runs an entry from its settings."""
+
+import asyncio
+import contextlib
+import logging
+
+import aiohttp
+import uvicorn
+
+from lacewinglug.control import EntryHello
+from lacewinglug.entry.app import EntryApp
+from lacewinglug.entry.link import StewardLink
+from lacewinglug.entry.view import EntryView
+from lacewinglug.ids import IdFactory
+from lacewinglug.metrics import Metrics
+from lacewinglug.requests.calls import CallRunner
+from lacewinglug.requests.keys import KeyLedger
+from lacewinglug.requests.prompts import PromptRelay
+from lacewinglug.settings import Settings
+from lacewinglug.upstream.client import RunnerClient
+
+logger = logging.getLogger(__name__)
+
+
+async def run_entry(*, settings: Settings, incarnation: str, metrics: Metrics) -> None:
+    """Serve callers until the process is asked to stop.
+
+    :param settings: settings of the host.
+    :param incarnation: name of this run of the process.
+    :param metrics: counters.
+    """
+    view = EntryView(availability_zone=settings.host.availability_zone)
+    ids = IdFactory(host=settings.host.name, incarnation=incarnation)
+    ledger = KeyLedger(ids=ids)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        client = RunnerClient(session=session)
+        app = EntryApp(
+            settings=settings,
+            view=view,
+            ids=IdFactory(host=settings.host.name, incarnation=incarnation),
+            ledger=ledger,
+            prompts=PromptRelay(view=view, client=client, metrics=metrics),
+            calls=CallRunner(view=view, client=client, ledger=ledger, metrics=metrics),
+            metrics=metrics,
+        )
+
+        def make_hello() -> EntryHello:
+            return EntryHello(
+                host=settings.host.name,
+                incarnation=incarnation,
+                revision=view.revision,
+                running=app.running,
+                leaving=app.leaving,
+            )
+
+        link = StewardLink(
+            address=f"tcp://{settings.host.address}:{settings.steward.control_port}",
+            view=view,
+            make_hello=make_hello,
+        )
+        link_task = asyncio.create_task(link.run())
+        logger.info("entry started", extra={"port": settings.entry.port})
+        try:
+            await _serve(app, settings)
+        finally:
+            link_task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await link_task
+    logger.info("entry stopped")
+
+
+async def _serve(app: EntryApp, settings: Settings) -> None:
+    """Run the HTTP server until a signal stops it."""
+    config = uvicorn.Config(
+        app.app(),
+        host=settings.host.address,
+        port=settings.entry.port,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        timeout_graceful_shutdown=int(settings.entry.drain_deadline_s),
+    )
+    await uvicorn.Server(config).serve()
--- /dev/null
+++ b/lacewinglug/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are live, and which of them a caller should use."""
--- /dev/null
+++ b/lacewinglug/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform gives."""
--- /dev/null
+++ b/lacewinglug/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which runner gets a request: pure functions of typed state."""
--- /dev/null
+++ b/lacewinglug/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and the back ends, for tests and demos."""
--- /dev/null
+++ b/lacewinglug/standin/engine.py
@@ -0,0 +1,204 @@
+"""Stand-in of a model engine with continuous batching."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from lacewinglug.standin.faults import Faults, FaultSwitch, json_response
+from lacewinglug.upstream.messages import (
+    EndLine,
+    EngineOrder,
+    EngineState,
+    GenerateRequest,
+    LoadReport,
+    OrderReply,
+    StreamLine,
+    TokenLine,
+)
+
+
+def expected_token(prompt: str, index: int) -> str:
+    """Return the token that every engine generates at a place of an answer."""
+    return f"{xxhash.xxh32_hexdigest(f'{index}:{prompt}'.encode())} "
+
+
+@dataclass(kw_only=True)
+class EngineStandin:
+    """A model engine.
+
+    :param prefill_tokens_per_s: prompt tokens computed a second.
+    :param token_interval_s: time between two tokens of a stream, in seconds.
+    :param slots: streams that run at the same time.
+    :param checks_fencing: refuse orders with an old fencing number.
+    :param change_s: time that a change of role takes, in seconds.
+    """
+
+    prefill_tokens_per_s: float = 20000.0
+    token_interval_s: float = 0.005
+    slots: int = 16
+    checks_fencing: bool = True
+    change_s: float = 0.5
+    role: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    state: str = "ready"
+    fencing_number: int = -1
+    order_id: str = ""
+    running: int = 0
+    queued: int = 0
+    queued_prefill_tokens: int = 0
+    orders: list[EngineOrder] = field(default_factory=list)
+    prompts: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    switch: FaultSwitch = field(default_factory=lambda: FaultSwitch(faults=Faults()))
+
+    def __post_init__(self) -> None:
+        self._slots = asyncio.Semaphore(self.slots)
+        self._changes: set[asyncio.Task[None]] = set()
+
+    def report(self) -> LoadReport:
+        """Return the load as of now."""
+        return LoadReport(
+            role=self.role,
+            state=self.state,
+            running=self.running,
+            queued=self.queued,
+            queued_prefill_tokens=self.queued_prefill_tokens,
+            slots=self.slots,
+            fencing_number=self.fencing_number,
+            version=self.version,
+        )
+
+    async def handle_load(self, request: Request) -> Response:
+        """Report the load."""
+        refusal = await self.switch.before()
+        return refusal or json_response(self.report())
+
+    async def handle_generate(self, request: Request) -> Response:
+        """Stream the answer to a prompt."""
+        refusal = await self.switch.before()
+        if refusal is not None:
+            return refusal
+        if self.state != "ready":
+            return JSONResponse({"error": "the role is changing"}, status_code=503)
+        message = msgspec.json.decode(await request.body(), type=GenerateRequest)
+        self.prompts.append(message.request_id)
+        return StreamingResponse(
+            self._generate(message), media_type="application/x-ndjson"
+        )
+
+    async def _generate(self, message: GenerateRequest) -> AsyncIterator[bytes]:
+        prompt_tokens = len(message.prompt.split())
+        self.queued += 1
+        self.queued_prefill_tokens += prompt_tokens
+        finished = False
+        async with self._slots:
+            self.queued -= 1
+            self.running += 1
+            try:
+                await asyncio.sleep(prompt_tokens / self.prefill_tokens_per_s)
+                self.queued_prefill_tokens -= prompt_tokens
+                prompt_tokens = 0
+                for index in range(message.resume_from, message.max_tokens):
+                    await asyncio.sleep(self.token_interval_s)
+                    yield _encode_line(
+                        TokenLine(
+                            request_id=message.request_id,
+                            index=index,
+                            text=expected_token(message.prompt, index),
+                        )
+                    )
+                yield _encode_line(
+                    EndLine(request_id=message.request_id, tokens=message.max_tokens)
+                )
+                finished = True
+            finally:
+                self.running -= 1
+                self.queued_prefill_tokens -= prompt_tokens
+                if not finished:
+                    self.cancelled.append(message.request_id)
+
+    async def handle_order(self, request: Request) -> Response:
+        """Carry out an order, refusing an old fencing number where checked."""
+        refusal = await self.switch.before()
+        if refusal is not None:
+            return refusal
+        order = msgspec.json.decode(await request.body(), type=EngineOrder)
+        accepted = not (
+            self.checks_fencing and order.fencing_number < self.fencing_number
+        )
+        if accepted:
+            self.orders.append(order)
+            self.fencing_number = max(self.fencing_number, order.fencing_number)
+            self.order_id = order.order_id
+            self._start_change(order)
+        await self.switch.after()
+        reply = OrderReply(
+            accepted=accepted, fencing_number=self.fencing_number, state=self.state
+        )
+        return json_response(reply, status_code=200 if accepted else 409)
+
+    def _start_change(self, order: EngineOrder) -> None:
+        wanted = (order.role, order.version, order.adapters)
+        if wanted == (self.role, self.version, self.adapters):
+            return
+        self.state = "changing"
+        task = asyncio.create_task(self._change(order))
+        self._changes.add(task)
+        task.add_done_callback(self._changes.discard)
+
+    async def _change(self, order: EngineOrder) -> None:
+        await asyncio.sleep(self.change_s)
+        self.role = order.role
+        self.version = order.version
+        self.adapters = order.adapters
+        self.state = "ready"
+
+    async def handle_state(self, request: Request) -> Response:
+        """Return what the engine runs now."""
+        refusal = await self.switch.before()
+        return refusal or json_response(
+            EngineState(
+                role=self.role,
+                version=self.version,
+                adapters=self.adapters,
+                state=self.state,
+                fencing_number=self.fencing_number,
+                order_id=self.order_id,
+            )
+        )
+
+    async def handle_journal(self, request: Request) -> Response:
+        """Return every order and prompt received."""
+        return json_response(
+            {
+                "orders": self.orders,
+                "prompts": self.prompts,
+                "cancelled": self.cancelled,
+            }
+        )
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/load", self.handle_load, methods=["GET"]),
+                Route("/generate", self.handle_generate, methods=["POST"]),
+                Route("/orders", self.handle_order, methods=["POST"]),
+                Route("/state", self.handle_state, methods=["GET"]),
+                Route("/journal", self.handle_journal, methods=["GET"]),
+                Route("/faults", self.switch.handle_change, methods=["PUT"]),
+            ]
+        )
+
+
+def _encode_line(line: StreamLine) -> bytes:
+    """Return one line of a stream."""
+    return msgspec.json.encode(line) + b"\n"
--- /dev/null
+++ b/lacewinglug/ui/common.py
@@ -0,0 +1,86 @@
+"""Helpers shared by the commands."""
+
+import asyncio
+import getpass
+import os
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+import click
+import msgspec
+
+from lacewinglug.config.loading import load_config
+from lacewinglug.config.objects import Fleet
+from lacewinglug.errors import PlatformError, UserError
+from lacewinglug.platform.log import HttpLogClient, LogClient
+
+ResultT = TypeVar("ResultT")
+
+EXIT_USER_ERROR = 2
+EXIT_REFUSED = 3
+EXIT_UNAVAILABLE = 4
+
+
+class UserErrorGroup(click.Group):
+    """A command group that prints user errors as lines, without a traceback."""
+
+    def invoke(self, ctx: click.Context) -> Any:
+        """Run the command, turning errors into an exit code."""
+        try:
+            return super().invoke(ctx)
+        except UserError as error:
+            click.echo(f"lacewinglug: {error}", err=True)
+            sys.exit(error.exit_code)
+        except PlatformError as error:
+            click.echo(f"lacewinglug: {error}", err=True)
+            sys.exit(EXIT_UNAVAILABLE)
+
+
+log_option = click.option(
+    "--log-url",
+    envvar="LACEWINGLUG_LOG_URL",
+    required=True,
+    help="Base URL of the log service (or LACEWINGLUG_LOG_URL).",
+)
+json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+operator_option = click.option(
+    "--operator",
+    default=lambda: os.environ.get("LACEWINGLUG_OPERATOR") or getpass.getuser(),
+    help="Name written into the log (or LACEWINGLUG_OPERATOR).",
+)
+
+
+def read_config(folder: Path) -> Fleet:
+    """Return the checked configuration of a folder, or raise its problems."""
+    checked = load_config(folder)
+    if checked.fleet is None:
+        lines = "\n".join(str(problem) for problem in checked.problems)
+        count = len(checked.problems)
+        raise UserError(f"{count} problem(s), nothing published\n{lines}")
+    return checked.fleet
+
+
+def run_with_log(
+    log_url: str, action: Callable[[LogClient], Awaitable[ResultT]]
+) -> ResultT:
+    """Run an action with a client of the log."""
+
+    async def run() -> ResultT:
+        async with aiohttp.ClientSession() as session:
+            return await action(HttpLogClient(session=session, base_url=log_url))
+
+    return asyncio.run(run())
+
+
+def run_async(coroutine: Coroutine[Any, Any, ResultT]) -> ResultT:
+    """Run a coroutine to its end."""
+    return asyncio.run(coroutine)
+
+
+def echo_json(message: object) -> None:
+    """Print a message as indented JSON."""
+    encoded = msgspec.json.encode(message)
+    click.echo(msgspec.json.format(encoded, indent=2).decode())
--- /dev/null
+++ b/lacewinglug/ui/status.py
@@ -0,0 +1,77 @@
+"""The command that shows the state of the fleet."""
+
+import aiohttp
+import click
+import msgspec
+
+from lacewinglug.entry.app import StatusReply
+from lacewinglug.errors import UserError
+from lacewinglug.ui.common import EXIT_UNAVAILABLE, echo_json, json_option, run_async
+
+_TIMEOUT_S = 5.0
+
+
+@click.command(epilog="Example: lacewinglug status --entry http://127.0.0.1:8700")
+@click.option(
+    "--entry",
+    envvar="LACEWINGLUG_ENTRY_URL",
+    required=True,
+    help="Base URL of any entry host (or LACEWINGLUG_ENTRY_URL).",
+)
+@json_option
+def status(entry: str, as_json: bool) -> None:
+    """Show hosts, runners and order domains as one entry host sees them."""
+    reply = run_async(_fetch(entry))
+    if as_json:
+        echo_json(reply)
+        return
+    for line in _describe(reply):
+        click.echo(line)
+
+
+async def _fetch(entry: str) -> StatusReply:
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"{entry}/v1/status") as response,
+        ):
+            body = await response.read()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise UserError(
+            f"{entry} does not answer ({error!r}); try another entry host",
+            exit_code=EXIT_UNAVAILABLE,
+        ) from None
+    return msgspec.json.decode(body, type=StatusReply)
+
+
+def _describe(reply: StatusReply) -> list[str]:
+    """Return the lines of the status report."""
+    lines = [f"revision {reply.revision} at {reply.host}", "", "hosts"]
+    for host in sorted(reply.hosts, key=lambda item: item.host):
+        drain = _drain_state(host.host, reply)
+        lines.append(
+            f"  {host.host:<20} {host.state:<8} revision {host.revision:<5} "
+            f"running {host.running:<5} {drain}".rstrip()
+        )
+    lines += ["", "runners"]
+    for item in sorted(reply.runners, key=lambda status: status.runner):
+        report = item.report
+        drain = _drain_state(item.runner, reply)
+        lines.append(
+            f"  {item.runner:<20} {report.role or '-':<10} {report.state:<9} "
+            f"running {report.running}/{report.slots} queued {report.queued} "
+            f"{drain}".rstrip()
+        )
+    lines += ["", "order domains"]
+    for domain, holder in sorted(reply.holders.items()):
+        lines.append(f"  {domain:<20} {holder}")
+    return lines
+
+
+def _drain_state(name: str, reply: StatusReply) -> str:
+    if name in reply.withdrawn:
+        return "withdrawn"
+    if name in reply.draining:
+        return "draining"
+    return ""
--- /dev/null
+++ b/lacewinglug/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols of the back ends: model engines and plain services."""
--- /dev/null
+++ b/lacewinglug/upstream/client.py
@@ -0,0 +1,136 @@
+"""HTTP client of runners."""
+
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from lacewinglug.upstream.messages import (
+    CallReply,
+    EndLine,
+    EngineOrder,
+    EngineState,
+    GenerateRequest,
+    LoadReport,
+    OrderReply,
+    StreamLine,
+    TokenLine,
+)
+
+KEY_HEADER = "Idempotency-Key"
+_POLL_TIMEOUT_S = 2.0
+_ORDER_TIMEOUT_S = 5.0
+_CONNECT_TIMEOUT_S = 2.0
+_LINE_TIMEOUT_S = 5.0
+
+_line_decoder = msgspec.json.Decoder(TokenLine | EndLine)
+
+
+class RunnerError(Exception):
+    """A runner did not answer as its protocol says.
+
+    :param message: what happened.
+    :param sent: whether a byte of the request may have reached the runner.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclass(kw_only=True)
+class RunnerClient:
+    """Talks to engines and plain services over HTTP.
+
+    :param session: HTTP client session.
+    """
+
+    session: aiohttp.ClientSession
+
+    async def fetch_load(self, url: str) -> LoadReport:
+        """Return the load report of a runner."""
+        timeout = aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
+        body = await self._fetch("GET", f"{url}/load", None, timeout)
+        return msgspec.json.decode(body, type=LoadReport)
+
+    async def fetch_state(self, url: str) -> EngineState:
+        """Return what an engine runs now."""
+        timeout = aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
+        body = await self._fetch("GET", f"{url}/state", None, timeout)
+        return msgspec.json.decode(body, type=EngineState)
+
+    async def give_order(self, url: str, order: EngineOrder) -> OrderReply:
+        """Send an order to an engine and return its answer."""
+        timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
+        body = await self._fetch(
+            "POST", f"{url}/orders", msgspec.json.encode(order), timeout
+        )
+        return msgspec.json.decode(body, type=OrderReply)
+
+    async def _fetch(
+        self,
+        method: str,
+        url: str,
+        data: bytes | None,
+        timeout: aiohttp.ClientTimeout,
+    ) -> bytes:
+        try:
+            async with self.session.request(
+                method, url, data=data, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise RunnerError(f"cannot connect: {error}", sent=False) from None
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise RunnerError(f"no answer: {error!r}", sent=True) from None
+        if response.status not in (200, 409):
+            raise RunnerError(f"answered status {response.status}", sent=True)
+        return body
+
+    async def call(
+        self, url: str, path: str, *, key: str, body: bytes, timeout_s: float
+    ) -> CallReply:
+        """Run a call at a plain service and return its answer."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s, connect=_CONNECT_TIMEOUT_S)
+        headers = {KEY_HEADER: key}
+        try:
+            async with self.session.post(
+                url + path, data=body, headers=headers, timeout=timeout
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise RunnerError(f"cannot connect: {error}", sent=False) from None
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise RunnerError(f"no answer: {error!r}", sent=True) from None
+        if response.status != 200:
+            raise RunnerError(f"answered status {response.status}", sent=True)
+        try:
+            reply = msgspec.json.decode(content, type=CallReply)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise RunnerError(f"answer not understood: {error}", sent=True) from None
+        if reply.key != key:
+            raise RunnerError("answered another call", sent=True)
+        return reply
+
+    async def generate(
+        self, url: str, message: GenerateRequest
+    ) -> AsyncGenerator[StreamLine, None]:
+        """Yield the lines of an engine's answer until its explicit end."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, connect=_CONNECT_TIMEOUT_S, sock_read=_LINE_TIMEOUT_S
+        )
+        try:
+            async with self.session.post(
+                f"{url}/generate", data=msgspec.json.encode(message), timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise RunnerError(f"answered status {response.status}", sent=True)
+                async for raw in response.content:
+                    yield _line_decoder.decode(raw)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise RunnerError(f"cannot connect: {error}", sent=False) from None
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise RunnerError(f"stream broken: {error!r}", sent=True) from None
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise RunnerError(f"line not understood: {error}", sent=True) from None
--- /dev/null
+++ b/lacewinglug/upstream/messages.py
@@ -0,0 +1,147 @@
+"""Messages between the system and its runners."""
+
+import msgspec
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a runner reports of its load.
+
+    :param role: engine role in force, empty at a plain service.
+    :param state: ``ready``, ``changing`` or ``draining``.
+    :param running: requests in progress.
+    :param queued: requests that wait.
+    :param queued_prefill_tokens: prompt tokens still to compute.
+    :param slots: streams that can run at the same time.
+    :param cached_pieces: pieces in the prefix cache.
+    :param fencing_number: highest fencing number seen.
+    :param version: version of the weights in force.
+    """
+
+    role: str = ""
+    state: str = "ready"
+    running: int = 0
+    queued: int = 0
+    queued_prefill_tokens: int = 0
+    slots: int = 1
+    cached_pieces: int = 0
+    fencing_number: int = -1
+    version: str = ""
+
+
+class GenerateRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A prompt for an engine.
+
+    :param request_id: id that the engine echoes in every line.
+    :param prompt: text of the prompt.
+    :param max_tokens: tokens to generate.
+    :param priority: lower runs first.
+    :param resume_from: index of the first token wanted.
+    """
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    priority: int = 0
+    resume_from: int = 0
+
+
+class TokenLine(msgspec.Struct, frozen=True, kw_only=True, tag="token"):
+    """One generated token.
+
+    :param request_id: id of the request that it belongs to.
+    :param index: place in the answer, from 0.
+    :param text: text of the token.
+    """
+
+    request_id: str
+    index: int
+    text: str
+
+
+class EndLine(msgspec.Struct, frozen=True, kw_only=True, tag="end"):
+    """The end of a whole answer.
+
+    :param request_id: id of the request.
+    :param tokens: number of tokens of the whole answer.
+    """
+
+    request_id: str
+    tokens: int
+
+
+StreamLine = TokenLine | EndLine
+
+
+class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole wanted state of an engine.
+
+    :param fencing_number: offset of the tenure of the sender.
+    :param order_id: id of the order, the same in every copy.
+    :param sender: host and incarnation of the sender.
+    :param role: engine role.
+    :param version: version of the weights.
+    :param adapters: adapters to load.
+    """
+
+    fencing_number: int
+    order_id: str
+    sender: str
+    role: str
+    version: str
+    adapters: tuple[str, ...] = ()
+
+
+class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to an order.
+
+    :param accepted: whether the engine carries it out.
+    :param fencing_number: highest fencing number seen by the engine.
+    :param state: ``ready`` or ``changing``.
+    """
+
+    accepted: bool
+    fencing_number: int
+    state: str
+
+
+class EngineState(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine runs now, for reading an order back.
+
+    :param role: engine role in force.
+    :param version: version of the weights in force.
+    :param adapters: adapters loaded.
+    :param state: ``ready`` or ``changing``.
+    :param fencing_number: highest fencing number seen.
+    :param order_id: last order that was accepted.
+    """
+
+    role: str
+    version: str
+    adapters: tuple[str, ...]
+    state: str
+    fencing_number: int
+    order_id: str
+
+
+class CallRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A call to a plain service, as written in its journal.
+
+    :param key: key of the call.
+    :param path: path at the service.
+    :param body: body of the call.
+    """
+
+    key: str
+    path: str
+    body: str
+
+
+class CallReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of a plain service.
+
+    :param key: key of the call that it answers.
+    :param result: text of the answer.
+    """
+
+    key: str
+    result: str
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Fixtures shared by all tests."""
