Place requests through a dispatcher and count their outcomes

The dispatcher is the one seam between requests and routing, the recorder the one between requests and the service-level report.

--- a/lacewinglug/entry/app.py
+++ b/lacewinglug/entry/app.py
@@ -1,6 +1,6 @@
 """The HTTP interface that callers use."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
 import msgspec
@@ -10,7 +10,8 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from lacewinglug.config.objects import RequestKind
+from lacewinglug.clock import Clock
+from lacewinglug.config.objects import RequestKind, ServiceKind
 from lacewinglug.control import HostStatus, RunnerStatus
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
@@ -20,6 +21,7 @@
     entry_urls,
 )
 from lacewinglug.metrics import Metrics
+from lacewinglug.report.recorder import OutcomeRecorder, RequestOutcome
 from lacewinglug.requests.calls import Call, CallRunner
 from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.outcomes import (
@@ -29,14 +31,17 @@
     RequestFailure,
     failure_body,
     failure_status,
+    outcome_name,
 )
-from lacewinglug.requests.prompts import AnswerPart, PromptBody, PromptRelay
+from lacewinglug.requests.prompts import AnswerEnd, AnswerPart, PromptBody, PromptRelay
+from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.settings import Settings
 from lacewinglug.upstream.client import KEY_HEADER
 
 CALLER_HEADER = "X-Caller"
 REGION_HEADER = "X-Region"
 REQUEST_ID_HEADER = "X-Request-Id"
+ANSWERED = "answered"
 
 
 class KeyReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,6 +81,8 @@
     :param ledger: keys of calls.
     :param prompts: relays prompts.
     :param calls: runs calls.
+    :param recorder: counts outcomes for the service-level report.
+    :param clock: source of time.
     :param metrics: counters.
     """
 
@@ -85,6 +92,8 @@
     ledger: KeyLedger
     prompts: PromptRelay
     calls: CallRunner
+    recorder: OutcomeRecorder
+    clock: Clock
     metrics: Metrics
     running: int = 0
     leaving: bool = False
@@ -118,43 +127,69 @@
             body = msgspec.json.decode(await request.body(), type=PromptBody)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             return _refuse(_bad_request(str(error)))
-        request_id = self.ids.make()
-        parts = self.prompts.relay(service, request_id, body)
+        kind = self._find_kind(service, "model", body.kind)
+        if kind is None:
+            return _refuse(_unknown_kind(service))
+        profile = self._profile(
+            request,
+            kind,
+            kind_name=body.kind,
+            prompt_tokens=len(body.prompt.split()),
+            output_tokens=body.max_tokens,
+        )
+        started_s = self.clock.now_s()
+        parts = self.prompts.relay(profile, body)
         first = await anext(parts)
         if isinstance(first, NotRun | OutcomeUnknown | FailedWhileRunning):
+            self._note(profile, outcome_name(first), started_s)
             return _refuse(first)
-        self.metrics.count("prompts.started")
         return StreamingResponse(
-            self._stream(first, parts),
+            self._stream(profile, first, parts, started_s),
             media_type="application/x-ndjson",
-            headers={REQUEST_ID_HEADER: request_id},
+            headers={REQUEST_ID_HEADER: profile.request_id},
         )
 
     async def _stream(
-        self, first: AnswerPart, parts: AsyncIterator[AnswerPart]
-    ) -> AsyncIterator[bytes]:
+        self,
+        profile: RequestProfile,
+        first: AnswerPart,
+        parts: AsyncGenerator[AnswerPart, None],
+        started_s: float,
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield the lines of a streamed answer and count its outcome."""
         self.running += 1
+        last = first
         try:
             yield _encode_part(first)
-            async for part in parts:
-                yield _encode_part(part)
+            async for last in parts:
+                yield _encode_part(last)
         finally:
             self.running -= 1
+            await parts.aclose()
+            match last:
+                case NotRun() | OutcomeUnknown() | FailedWhileRunning():
+                    self._note(profile, outcome_name(last), started_s)
+                case AnswerEnd():
+                    self._note(profile, ANSWERED, started_s)
+                case _:
+                    self.metrics.count("prompts.caller_left")
 
     async def handle_call(self, request: Request) -> Response:
         """Run a call at a plain service."""
         service = request.path_params["service"]
-        kind = self._find_kind(service, request.path_params["kind"])
+        kind_name = request.path_params["kind"]
+        kind = self._find_kind(service, "plain", kind_name)
         if kind is None:
             return _refuse(_unknown_kind(service))
-        key = request.headers.get(KEY_HEADER) or self.ledger.mint()
+        profile = self._profile(request, kind, kind_name=kind_name)
         call = Call(
-            service=service,
+            profile=profile,
             path=kind.path,
             body=await request.body(),
-            key=key,
+            key=request.headers.get(KEY_HEADER) or self.ledger.mint(),
             timeout_s=kind.timeout_s,
         )
+        started_s = self.clock.now_s()
         self.running += 1
         try:
             result = await self.calls.run(call)
@@ -162,17 +197,60 @@
             self.running -= 1
         match result:
             case Success(reply):
+                self._note(profile, ANSWERED, started_s)
                 return _json(reply)
             case Failure(failure):
+                self._note(profile, outcome_name(failure), started_s)
                 return _refuse(failure)
         raise AssertionError("a result is a success or a failure")
 
-    def _find_kind(self, service_name: str, kind_name: str) -> RequestKind | None:
+    def _find_kind(
+        self, service_name: str, service_kind: ServiceKind, kind_name: str
+    ) -> RequestKind | None:
+        """Return a kind of request; an empty name means the service's first."""
         service = self.view.fleet.services.get(service_name)
-        if service is None or service.kind != "plain":
+        if service is None or service.kind != service_kind:
             return None
+        if not kind_name:
+            return next(iter(service.kinds.values()))
         return service.kinds.get(kind_name)
 
+    def _profile(
+        self,
+        request: Request,
+        kind: RequestKind,
+        *,
+        kind_name: str,
+        prompt_tokens: int = 0,
+        output_tokens: int = 0,
+    ) -> RequestProfile:
+        return RequestProfile(
+            request_id=self.ids.make(),
+            service=request.path_params["service"],
+            kind=kind_name,
+            organisation=request.headers.get(CALLER_HEADER, ""),
+            weight=kind.weight,
+            deadline_s=self.clock.now_s() + kind.timeout_s,
+            idempotent=kind.idempotent,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+        )
+
+    def _note(self, profile: RequestProfile, outcome: str, started_s: float) -> None:
+        """Count the outcome of a request."""
+        latency_s = self.clock.now_s() - started_s
+        self.metrics.count(f"requests.{outcome}")
+        self.metrics.timing("requests.latency", latency_s)
+        self.recorder.note(
+            RequestOutcome(
+                service=profile.service,
+                kind=profile.kind,
+                runner="",
+                outcome=outcome,
+                latency_s=latency_s,
+            )
+        )
+
     async def handle_status(self, request: Request) -> Response:
         """Tell operators what this entry knows."""
         config = self.view.config
@@ -194,20 +272,13 @@
 
     def app(self) -> Starlette:
         """Return the HTTP application."""
+        service = "/v1/services/{service}"
         return Starlette(
             routes=[
                 Route("/v1/entries", self.handle_entries, methods=["GET"]),
                 Route("/v1/keys", self.handle_mint, methods=["POST"]),
-                Route(
-                    "/v1/services/{service}/prompts",
-                    self.handle_prompt,
-                    methods=["POST"],
-                ),
-                Route(
-                    "/v1/services/{service}/calls/{kind}",
-                    self.handle_call,
-                    methods=["POST"],
-                ),
+                Route(f"{service}/prompts", self.handle_prompt, methods=["POST"]),
+                Route(f"{service}/calls/{{kind}}", self.handle_call, methods=["POST"]),
                 Route("/v1/status", self.handle_status, methods=["GET"]),
             ]
         )
@@ -250,7 +321,7 @@
 
 def _unknown_kind(service: str) -> NotRun:
     return NotRun(
-        reason=f"service {service!r} has no such kind of call",
+        reason=f"service {service!r} has no such kind of request",
         remedy="use a service and kind of the configuration",
         retry_after_s=0.0,
         status=404,
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -7,12 +7,15 @@
 import aiohttp
 import uvicorn
 
+from lacewinglug.clock import Clock
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
+from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.link import StewardLink
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.report.recorder import OutcomeRecorder
 from lacewinglug.requests.calls import CallRunner
 from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.prompts import PromptRelay
@@ -22,11 +25,14 @@
 logger = logging.getLogger(__name__)
 
 
-async def run_entry(*, settings: Settings, incarnation: str, metrics: Metrics) -> None:
+async def run_entry(
+    *, settings: Settings, incarnation: str, clock: Clock, metrics: Metrics
+) -> None:
     """Serve callers until the process is asked to stop.
 
     :param settings: settings of the host.
     :param incarnation: name of this run of the process.
+    :param clock: source of time.
     :param metrics: counters.
     """
     view = EntryView(availability_zone=settings.host.availability_zone)
@@ -35,13 +41,18 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         client = RunnerClient(session=session)
+        dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
         app = EntryApp(
             settings=settings,
             view=view,
             ids=IdFactory(host=settings.host.name, incarnation=incarnation),
             ledger=ledger,
-            prompts=PromptRelay(view=view, client=client, metrics=metrics),
-            calls=CallRunner(view=view, client=client, ledger=ledger, metrics=metrics),
+            prompts=PromptRelay(dispatcher=dispatcher, client=client, metrics=metrics),
+            calls=CallRunner(
+                dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
+            ),
+            recorder=OutcomeRecorder(),
+            clock=clock,
             metrics=metrics,
         )
 
--- /dev/null
+++ b/lacewinglug/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service-level objectives."""
--- a/lacewinglug/requests/calls.py
+++ b/lacewinglug/requests/calls.py
@@ -4,11 +4,11 @@
 
 from returns.result import Failure, Success
 
-from lacewinglug.entry.view import EntryView
+from lacewinglug.entry.dispatch import Dispatch, Dispatcher
 from lacewinglug.metrics import Metrics
 from lacewinglug.requests.keys import CallResult, KeyLedger
 from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown
-from lacewinglug.routing.choice import choose_runner
+from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.upstream.client import RunnerClient, RunnerError
 
 
@@ -16,14 +16,14 @@
 class Call:
     """A call to a plain service.
 
-    :param service: name of the service.
+    :param profile: the request as admission and routing see it.
     :param path: path at the service.
     :param body: body of the call.
     :param key: key of the call.
     :param timeout_s: time to answer in, in seconds.
     """
 
-    service: str
+    profile: RequestProfile
     path: str
     body: bytes
     key: str
@@ -34,13 +34,13 @@
 class CallRunner:
     """Runs calls under keys of this process.
 
-    :param view: what is known of the fleet.
+    :param dispatcher: places calls on runners.
     :param client: client of the runners.
     :param ledger: the keys.
     :param metrics: counters.
     """
 
-    view: EntryView
+    dispatcher: Dispatcher
     client: RunnerClient
     ledger: KeyLedger
     metrics: Metrics
@@ -52,21 +52,30 @@
             self.metrics.count("calls.repeats")
             return await earlier
         future = self.ledger.begin(call.key)
-        result = await self._send(call)
+        result = await self._place(call)
         future.set_result(result)
         return result
 
-    async def _send(self, call: Call) -> CallResult:
+    async def _place(self, call: Call) -> CallResult:
         """Send a call to one runner, once."""
-        runner = choose_runner(self.view.candidates(call.service))
-        if runner is None:
-            return Failure(_not_run("no runner of the service accepts work"))
-        url = self.view.fleet.runners[runner.name].url
-        self.view.in_flight[runner.name] += 1
+        match await self.dispatcher.place(call.profile):
+            case Success(dispatch):
+                return await self._send(call, dispatch)
+            case Failure(refusal):
+                return Failure(refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _send(self, call: Call, dispatch: Dispatch) -> CallResult:
+        succeeded = False
         try:
             reply = await self.client.call(
-                url, call.path, key=call.key, body=call.body, timeout_s=call.timeout_s
+                dispatch.url,
+                call.path,
+                key=call.key,
+                body=call.body,
+                timeout_s=call.timeout_s,
             )
+            succeeded = True
         except RunnerError as error:
             if not error.sent:
                 return Failure(_not_run(str(error)))
@@ -78,7 +87,7 @@
                 )
             )
         finally:
-            self.view.in_flight[runner.name] -= 1
+            dispatch.close(succeeded=succeeded)
         return Success(reply)
 
 
--- a/lacewinglug/requests/outcomes.py
+++ b/lacewinglug/requests/outcomes.py
@@ -76,17 +76,26 @@
             return 502
 
 
-def failure_body(failure: RequestFailure) -> FailureBody:
-    """Return the body of a failed answer."""
+def outcome_name(failure: RequestFailure) -> str:
+    """Return the name of a failure's kind, as callers and reports see it."""
     match failure:
         case NotRun():
-            outcome, retry_after_s = "not_run", failure.retry_after_s
+            return "not_run"
         case OutcomeUnknown():
-            outcome, retry_after_s = "outcome_unknown", 0.0
+            return "outcome_unknown"
         case FailedWhileRunning():
-            outcome, retry_after_s = "failed_while_running", failure.retry_after_s
+            return "failed_while_running"
+
+
+def failure_body(failure: RequestFailure) -> FailureBody:
+    """Return the body of a failed answer."""
+    match failure:
+        case NotRun() | FailedWhileRunning():
+            retry_after_s = failure.retry_after_s
+        case OutcomeUnknown():
+            retry_after_s = 0.0
     return FailureBody(
-        outcome=outcome,
+        outcome=outcome_name(failure),
         reason=failure.reason,
         remedy=failure.remedy,
         retry_after_s=retry_after_s,
--- a/lacewinglug/ui/entry.py
+++ b/lacewinglug/ui/entry.py
@@ -4,6 +4,7 @@
 
 import click
 
+from lacewinglug.clock import SystemClock
 from lacewinglug.entry.process import run_entry
 from lacewinglug.metrics import Metrics
 from lacewinglug.settings import Settings
@@ -21,4 +22,9 @@
 
 
 async def _run(settings: Settings, incarnation: str, metrics: Metrics) -> None:
-    await run_entry(settings=settings, incarnation=incarnation, metrics=metrics)
+    await run_entry(
+        settings=settings,
+        incarnation=incarnation,
+        clock=SystemClock(),
+        metrics=metrics,
+    )
