--- a/lacewinglug/config/checking.py
+++ b/lacewinglug/config/checking.py
@@ -24,12 +24,13 @@
     """Return every fault between the objects of a configuration.
 
     :param fleet: the configuration.
-    :param sources: file of each object by kind and name.
+    :param sources: file of each declared object by kind and name, those that
+        are not valid included.
     """
     problems = [
         _dangling(reference, sources)
         for reference in _references(fleet)
-        if reference.target not in getattr(fleet, reference.target_kind)
+        if (reference.target_kind, reference.target) not in sources
     ]
     problems.extend(_check_cycles(fleet, sources))
     problems.extend(_check_services(fleet, sources))
--- a/lacewinglug/config/documents.py
+++ b/lacewinglug/config/documents.py
@@ -4,13 +4,27 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+IP_NUMBER_PATTERN = r"^(\d{1,3}(\.\d{1,3}){3}|[0-9a-f:]+)$"
+DIGEST_PATTERN = r"^([0-9a-f]{64})?$"
+PATH_PATTERN = r"^(/[A-Za-z0-9/_-]*)?$"
+URL_PATTERN = r"^https?://[^\s/]+$"
+
+PATTERN_FORMS = {
+    NAME_PATTERN: "1 to 63 lower-case letters, digits and hyphens",
+    IP_NUMBER_PATTERN: "an IP number such as 10.0.3.1",
+    DIGEST_PATTERN: "a SHA-256 digest as 64 hexadecimal digits",
+    PATH_PATTERN: "a path such as /unlock",
+    URL_PATTERN: "a URL without a path, such as http://10.0.3.1:8000",
+}
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 Delay = Annotated[float, Field(ge=0, le=10)]
 Port = Annotated[int, Field(ge=1, le=65535)]
 Rate = Annotated[float, Field(gt=0)]
 Size = Annotated[int, Field(gt=0)]
 Seconds = Annotated[float, Field(gt=0, le=31536000)]
-IpNumber = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|[0-9a-f:]+)$")]
+IpNumber = Annotated[str, Field(pattern=IP_NUMBER_PATTERN)]
 
 
 class _Document(BaseModel):
@@ -45,7 +59,7 @@
 
     weight: Rate = 1.0
     max_concurrent_requests: Size = 1000
-    key_sha256: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = ""
+    key_sha256: Annotated[str, Field(pattern=DIGEST_PATTERN)] = ""
 
 
 class ModelDocument(_Document):
@@ -86,7 +100,7 @@
     weight: Rate = 1.0
     timeout_s: Seconds = 30.0
     idempotent: bool = True
-    path: Annotated[str, Field(pattern=r"^(/[A-Za-z0-9/_-]*)?$")] = ""
+    path: Annotated[str, Field(pattern=PATH_PATTERN)] = ""
 
 
 class ServiceDocument(_Document):
@@ -104,7 +118,7 @@
 
     service: Name
     availability_zone: Name
-    url: Annotated[str, Field(pattern=r"^https?://[^\s/]+$")]
+    url: Annotated[str, Field(pattern=URL_PATTERN)]
     checks_fencing: bool = True
     initial_role: Name | Literal[""] = ""
 
--- a/lacewinglug/config/loading.py
+++ b/lacewinglug/config/loading.py
@@ -9,7 +9,7 @@
 from pydantic import ValidationError
 
 from lacewinglug.config.checking import check_references
-from lacewinglug.config.documents import FleetDocument
+from lacewinglug.config.documents import PATTERN_FORMS, FleetDocument
 from lacewinglug.config.objects import Fleet
 from lacewinglug.errors import Problem
 
@@ -44,10 +44,9 @@
                 remedy="name a folder that holds the configuration",
             )
         )
-    for path in paths:
-        _read_file(path, folder, merged, sources, problems)
+    readable = [_read_file(path, folder, merged, sources, problems) for path in paths]
     fleet = _validate(merged, sources, problems)
-    if fleet is not None:
+    if fleet is not None and all(readable):
         problems.extend(check_references(fleet, sources))
     problems.sort(key=lambda item: (item.file, item.object_name, item.field))
     return CheckedConfig(fleet=None if problems else fleet, problems=problems)
@@ -59,8 +58,8 @@
     merged: dict[str, dict[str, Any]],
     sources: dict[ObjectKey, str],
     problems: list[Problem],
-) -> None:
-    """Merge the objects of one file, noting objects that stand twice."""
+) -> bool:
+    """Merge the objects of one file; return whether it was readable."""
     file = str(path.relative_to(folder))
     try:
         tables = tomllib.loads(path.read_text())
@@ -74,7 +73,7 @@
                 remedy="mend the file",
             )
         )
-        return
+        return False
     for kind, objects in tables.items():
         if not isinstance(objects, dict):
             problems.append(
@@ -102,6 +101,7 @@
                 continue
             sources[key] = file
             merged.setdefault(kind, {})[name] = body
+    return True
 
 
 def _validate(
@@ -140,9 +140,7 @@
     """Turn one validation error into a problem with a remedy."""
     kind, *rest = (str(part) for part in item["loc"])
     name = rest[0] if rest else ""
-    field = ".".join(
-        part for part in rest[1:] if part not in ("[key]", "constrained-str")
-    )
+    field = ".".join(part for part in rest[1:] if part != "[key]")
     remedy = "correct the value; see docs/CONFIGURATION.md"
     message = f"{item['msg']} (got {item['input']!r})"
     match item["type"]:
@@ -152,12 +150,20 @@
         case "missing":
             message = "required but missing"
             remedy = f"add {field}"
+        case "string_pattern_mismatch":
+            message = f"{item['input']!r} has the wrong form"
+            remedy = f"write {PATTERN_FORMS[item['ctx']['pattern']]}"
         case _:
             pass
     return Problem(
-        file=sources.get((kind, name), ""),
+        file=sources.get((kind, name)) or _first_file(kind, sources),
         object_name=f"{kind}.{name}" if name else kind,
         field=field,
         message=message,
         remedy=remedy,
     )
+
+
+def _first_file(kind: str, sources: dict[ObjectKey, str]) -> str:
+    """Return the first file that declares an object of a kind."""
+    return next((file for key, file in sources.items() if key[0] == kind), "")
--- /dev/null
+++ b/lacewinglug/load/__init__.py
@@ -0,0 +1,1 @@
+"""An open-loop load and experiment tool."""
--- a/lacewinglug/ui/__init__.py
+++ b/lacewinglug/ui/__init__.py
@@ -5,7 +5,9 @@
 from lacewinglug import __version__
 from lacewinglug.ui.check import check
 from lacewinglug.ui.common import UserErrorGroup
+from lacewinglug.ui.completion import completion
 from lacewinglug.ui.drain import drain, replace, withdraw
+from lacewinglug.ui.load import load
 from lacewinglug.ui.publish import diff, publish
 from lacewinglug.ui.status import status
 
@@ -16,5 +18,15 @@
     """Operate a fleet by publishing checked configurations."""
 
 
-for command in (check, diff, publish, status, drain, replace, withdraw):
+for command in (
+    check,
+    diff,
+    publish,
+    status,
+    drain,
+    replace,
+    withdraw,
+    load,
+    completion,
+):
     main.add_command(command)
--- a/lacewinglug/ui/common.py
+++ b/lacewinglug/ui/common.py
@@ -45,6 +45,12 @@
     required=True,
     help="Base URL of the log service (or LACEWINGLUG_LOG_URL).",
 )
+entry_option = click.option(
+    "--entry",
+    envvar="LACEWINGLUG_ENTRY_URL",
+    required=True,
+    help="Base URL of any entry host (or LACEWINGLUG_ENTRY_URL).",
+)
 json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 operator_option = click.option(
     "--operator",
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -6,18 +6,19 @@
 
 from lacewinglug.entry.app import StatusReply
 from lacewinglug.errors import UserError
-from lacewinglug.ui.common import EXIT_UNAVAILABLE, echo_json, json_option, run_async
+from lacewinglug.ui.common import (
+    EXIT_UNAVAILABLE,
+    echo_json,
+    entry_option,
+    json_option,
+    run_async,
+)
 
 _TIMEOUT_S = 5.0
 
 
 @click.command(epilog="Example: lacewinglug status --entry http://127.0.0.1:8700")
-@click.option(
-    "--entry",
-    envvar="LACEWINGLUG_ENTRY_URL",
-    required=True,
-    help="Base URL of any entry host (or LACEWINGLUG_ENTRY_URL).",
-)
+@entry_option
 @json_option
 def status(entry: str, as_json: bool) -> None:
     """Show hosts, runners and order domains as one entry host sees them."""
