Split the entry's handlers and add the benchmark frame

Prompts, calls and what they share stand in modules of their own, so that each can grow alone. A deployment reserves its block of ports with a bound socket, since two test runs at once could pick the same block.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measured scenarios, run by ``make bench``."""
--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,54 @@
+"""Resident memory of the processes of one host."""
+
+import tempfile
+import time
+from pathlib import Path
+
+from bench.figures import Figure, Target
+from harness.deployment import Deployment
+
+STEWARD_MEMORY_TARGET_MB = 64.0
+_SETTLE_S = 3.0
+_KB_PER_MB = 1024.0
+
+
+def run() -> list[Figure]:
+    """Measure entry and steward, idle and with an example loaded."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Deployment(example="volt-trottoir", folder=Path(folder)) as deployment,
+    ):
+        deployment.start_platform()
+        deployment.start_hosts(["entry-1"])
+        url = f"{deployment.entry_url('entry-1')}/v1/status"
+        deployment.wait_url("entry-1.entry", url)
+        figures = _measure(deployment, "idle")
+        deployment.publish()
+        time.sleep(_SETTLE_S)
+        return figures + _measure(deployment, "loaded")
+
+
+def _measure(deployment: Deployment, state: str) -> list[Figure]:
+    return [
+        Figure(
+            scenario="memory",
+            name="resident_mb",
+            subject=f"{program}_{state}",
+            value=_resident_mb(deployment.processes[f"entry-1.{program}"].pid),
+            target=(
+                Target(limit=STEWARD_MEMORY_TARGET_MB, direction="at_most")
+                if program == "steward"
+                else None
+            ),
+            deterministic=False,
+        )
+        for program in ("steward", "entry")
+    ]
+
+
+def _resident_mb(pid: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return float(line.split()[1]) / _KB_PER_MB
+    raise RuntimeError(f"no resident memory of process {pid}")
--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -18,6 +18,8 @@
 
 _EXAMPLE_PORT = re.compile(r"\b87(\d\d)\b")
 _PORT_COUNT = 100
+_FIRST_PORT = 20000
+_LAST_PORT = 32000
 _PLATFORM_PORT = 0
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
@@ -39,11 +41,10 @@
 
     example: str
     folder: Path
-    base_port: int = 0
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.base_port = self.base_port or find_port_block()
+        self._guard, self.base_port = reserve_port_block()
         self.config_folder.mkdir(parents=True)
         for path in (EXAMPLES / self.example).glob("*.toml"):
             text = _EXAMPLE_PORT.sub(self._shift_port, path.read_text())
@@ -205,20 +206,39 @@
                 process.terminate()
         for name in list(self.processes):
             self.stop(name)
+        self._guard.close()
 
 
-def find_port_block() -> int:
-    """Return the first of a block of free ports."""
-    for base_port in range(20000, 32000, _PORT_COUNT):
-        if all(_is_free(base_port + index) for index in range(_PORT_COUNT)):
-            return base_port
-    raise DeploymentError("no free block of ports on loopback")
+def reserve_port_block() -> tuple[socket.socket, int]:
+    """Reserve a block of free ports.
+
+    :returns: the socket that reserves the block until it is closed, and the
+        first port.
+    """
+    for base_port in range(_FIRST_PORT, _LAST_PORT, _PORT_COUNT):
+        guard = _bind(base_port + _PORT_COUNT - 1)
+        if guard is None:
+            continue
+        if all(_is_free(base_port + index) for index in range(_PORT_COUNT - 1)):
+            return guard, base_port
+        guard.close()
+    raise DeploymentError("no free block of ports on loopback; stop other deployments")
+
+
+def _bind(port: int) -> socket.socket | None:
+    """Return a socket bound to a port, or None when the port is taken."""
+    probe = socket.socket()
+    try:
+        probe.bind(("127.0.0.1", port))
+    except OSError:
+        probe.close()
+        return None
+    return probe
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    probe = _bind(port)
+    if probe is None:
+        return False
+    probe.close()
     return True
--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -7,11 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lacewinglug.entry.app import (
-    CALLER_HEADER,
-    REGION_HEADER,
-    KeyReply,
-)
+from lacewinglug.entry.calls import KeyReply
+from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER
 from lacewinglug.membership.addresses import EntryAddresses
 from lacewinglug.requests.outcomes import FailureBody
 from lacewinglug.requests.prompts import AnswerEnd, AnswerToken, PromptBody
--- /dev/null
+++ b/lacewinglug/entry/intake.py
@@ -0,0 +1,88 @@
+"""What the handlers of prompts and calls share."""
+
+from dataclasses import dataclass
+
+from starlette.requests import Request
+
+from lacewinglug.clock import Clock
+from lacewinglug.config.objects import RequestKind, ServiceKind
+from lacewinglug.entry.view import EntryView
+from lacewinglug.ids import IdFactory
+from lacewinglug.metrics import Metrics
+from lacewinglug.report.recorder import OutcomeRecorder, RequestOutcome
+from lacewinglug.routing.profile import RequestProfile
+
+CALLER_HEADER = "X-Caller"
+REGION_HEADER = "X-Region"
+REQUEST_ID_HEADER = "X-Request-Id"
+ANSWERED = "answered"
+
+
+@dataclass(kw_only=True)
+class Intake:
+    """Owns the entry's count of running requests and notes their outcomes.
+
+    :param view: what is known of the fleet.
+    :param ids: makes request ids.
+    :param recorder: counts outcomes for the service-level report.
+    :param clock: source of time.
+    :param metrics: counters.
+    """
+
+    view: EntryView
+    ids: IdFactory
+    recorder: OutcomeRecorder
+    clock: Clock
+    metrics: Metrics
+    running: int = 0
+    leaving: bool = False
+
+    def find_kind(
+        self, service_name: str, service_kind: ServiceKind, kind_name: str
+    ) -> RequestKind | None:
+        """Return a kind of request; an empty name means the service's first."""
+        service = self.view.fleet.services.get(service_name)
+        if service is None or service.kind != service_kind:
+            return None
+        if not kind_name:
+            return next(iter(service.kinds.values()))
+        return service.kinds.get(kind_name)
+
+    def make_profile(
+        self,
+        request: Request,
+        kind: RequestKind,
+        *,
+        kind_name: str,
+        prompt_tokens: int = 0,
+        output_tokens: int = 0,
+    ) -> RequestProfile:
+        """Return a request as admission and routing see it."""
+        return RequestProfile(
+            request_id=self.ids.make(),
+            service=request.path_params["service"],
+            kind=kind_name,
+            organisation=request.headers.get(CALLER_HEADER, ""),
+            weight=kind.weight,
+            deadline_s=self.clock.now_s() + kind.timeout_s,
+            idempotent=kind.idempotent,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+        )
+
+    def note_outcome(
+        self, profile: RequestProfile, outcome: str, started_s: float
+    ) -> None:
+        """Count the outcome of a request."""
+        latency_s = self.clock.now_s() - started_s
+        self.metrics.count(f"requests.{outcome}")
+        self.metrics.timing("requests.latency", latency_s)
+        self.recorder.note(
+            RequestOutcome(
+                service=profile.service,
+                kind=profile.kind,
+                runner="",
+                outcome=outcome,
+                latency_s=latency_s,
+            )
+        )
