Let the replay alone decide claims, replacements and copies

Cause: the replay took a claim for any domain as soon as it superseded the current tenure, un-drained a withdrawn host, remembered record ids without bound and skipped records that only a newer version understands.

- A claim carries the machine and whether the tenure is exclusive.
- replace names the new machine; claims of the old one are void afterwards.
- Every record carries the offset that its writer acted on (as_of).

--- a/lacewinglug/config/publishing.py
+++ b/lacewinglug/config/publishing.py
@@ -74,6 +74,7 @@
         return PublishResult(record_id=record_id, publication=None, unchanged=True)
     record = ConfigPublished(
         record_id=record_id,
+        as_of=state.next_offset,
         publisher=publisher,
         base_revision=base,
         change=change,
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -27,11 +27,18 @@
     :param name: name of the host in the configuration.
     :param availability_zone: availability zone that the host stands in.
     :param address: IP number that the host listens on.
+    :param machine: machine that carries the host's name, empty for its address.
     """
 
     name: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]*$")]
     availability_zone: Annotated[str, Field(min_length=1)]
     address: Annotated[str, Field(min_length=1)]
+    machine: str
+
+    @property
+    def machine_name(self) -> str:
+        """Name of the machine in claims and replacements."""
+        return self.machine or self.address
 
 
 class PlatformSettings(_Section):
--- a/lacewinglug/ui/drain.py
+++ b/lacewinglug/ui/drain.py
@@ -1,8 +1,16 @@
 """The commands that take hosts and runners out of service and back."""
 
+from collections.abc import Callable
+
 import click
 
-from lacewinglug.authority.records import AnyRecord, DrainChanged, HostWithdrawn
+from lacewinglug.authority.records import (
+    AnyRecord,
+    DrainChanged,
+    HostReplaced,
+    HostWithdrawn,
+)
+from lacewinglug.authority.state import ControlState
 from lacewinglug.config.objects import Fleet
 from lacewinglug.config.publishing import append_record, read_state
 from lacewinglug.errors import UserError
@@ -17,13 +25,15 @@
     return IdFactory(host="operator", incarnation=make_incarnation()).make()
 
 
-def _append(log_url: str, target: str, record: AnyRecord) -> None:
+def _append(
+    log_url: str, target: str, make_record: Callable[[ControlState], AnyRecord]
+) -> None:
     """Append a record about a host or runner of the configuration."""
 
     async def run(log: LogClient) -> None:
         state = await read_state(log)
         _check_target(state.fleet, target)
-        await append_record(log, record)
+        await append_record(log, make_record(state))
 
     run_with_log(log_url, run)
 
@@ -43,27 +53,59 @@
 @click.option("--undo", is_flag=True, help="Take it back into service.")
 def drain(target: str, log_url: str, operator: str, undo: bool) -> None:
     """Give the host or runner TARGET no new work."""
-    record = DrainChanged(
-        record_id=_make_record_id(),
-        target=target,
-        draining=not undo,
-        operator=operator,
-    )
-    _append(log_url, target, record)
+
+    def make_record(state: ControlState) -> AnyRecord:
+        if target in state.withdrawn:
+            raise UserError(
+                f"{target!r} is withdrawn; lacewinglug replace takes its name "
+                "back into service on a new machine"
+            )
+        return DrainChanged(
+            record_id=_make_record_id(),
+            as_of=state.next_offset,
+            target=target,
+            draining=not undo,
+            operator=operator,
+        )
+
+    _append(log_url, target, make_record)
     click.echo(f"{target}: {'back in service' if undo else 'draining'}")
 
 
-@click.command(epilog="Example: lacewinglug replace entry-3")
+@click.command(epilog="Example: lacewinglug replace entry-3 --machine rack4-17 --yes")
 @target_argument
+@click.option(
+    "--machine",
+    required=True,
+    help="The new machine, as host.machine in its settings (by default its address).",
+)
 @log_option
 @operator_option
-def replace(target: str, log_url: str, operator: str) -> None:
-    """Take TARGET back into service after its machine was replaced."""
-    record = DrainChanged(
-        record_id=_make_record_id(), target=target, draining=False, operator=operator
-    )
-    _append(log_url, target, record)
-    click.echo(f"{target}: replaced and in service")
+@click.confirmation_option(
+    prompt="Is the old machine off, so that none of its orders can still arrive?"
+)
+def replace(target: str, machine: str, log_url: str, operator: str) -> None:
+    """Give the name TARGET to a new machine and take it into service.
+
+    The tenures of the old machine end, and it cannot claim any again.
+    """
+
+    def make_record(state: ControlState) -> AnyRecord:
+        if state.machines.get(target) == machine:
+            raise UserError(
+                f"{target!r} is on machine {machine!r} already; to end a drain, "
+                "run lacewinglug drain --undo"
+            )
+        return HostReplaced(
+            record_id=_make_record_id(),
+            as_of=state.next_offset,
+            target=target,
+            machine=machine,
+            operator=operator,
+        )
+
+    _append(log_url, target, make_record)
+    click.echo(f"{target}: on machine {machine}, in service")
 
 
 @click.command(epilog="Example: lacewinglug withdraw entry-3 --yes")
@@ -75,8 +117,14 @@
 )
 def withdraw(target: str, log_url: str, operator: str) -> None:
     """Declare TARGET gone for good; its tenures may be taken over."""
-    record = HostWithdrawn(
-        record_id=_make_record_id(), target=target, operator=operator
-    )
-    _append(log_url, target, record)
+
+    def make_record(state: ControlState) -> AnyRecord:
+        return HostWithdrawn(
+            record_id=_make_record_id(),
+            as_of=state.next_offset,
+            target=target,
+            operator=operator,
+        )
+
+    _append(log_url, target, make_record)
     click.echo(f"{target}: withdrawn")
