Claim tenures and give engines whole-state orders under them

Cause: nothing told engines what to run, and the stand-in took orders of any sender in any order.

- Engines are drained before a change and refuse prompts typed as not run.

--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -14,7 +14,7 @@
 from typing import Self
 
 from lacewinglug.config.loading import load_config
-from lacewinglug.config.objects import Fleet
+from lacewinglug.config.objects import Fleet, Runner
 
 _EXAMPLE_PORT = re.compile(r"\b87(\d\d)\b")
 _PORT_COUNT = 100
@@ -97,13 +97,23 @@
             runner = fleet.runners[name]
             kind = fleet.services[runner.service].kind
             standin = ["engine"] if kind == "model" else ["service"]
-            if kind == "model" and not runner.checks_fencing:
-                standin.append("--ignores-fencing")
+            if kind == "model":
+                standin += self._engine_options(runner)
             port = runner.url.rpartition(":")[2]
             self._start(name, "standin", *standin, "--port", port, *options)
         for name in names or list(fleet.runners):
             self.wait_url(name, f"{fleet.runners[name].url}/load")
 
+    def _engine_options(self, runner: Runner) -> list[str]:
+        """Return options of an engine that runs what is declared already."""
+        service = self.fleet.services[runner.service]
+        options = ["--role", runner.initial_role, "--version", service.version]
+        for adapter in service.adapters:
+            options += ["--adapter", adapter]
+        if not runner.checks_fencing:
+            options.append("--ignores-fencing")
+        return [*options, "--weight-store-url", self.platform_url]
+
     def start_hosts(self, names: list[str] | None = None) -> None:
         """Start steward and entry of hosts, by default of all."""
         for name in names or list(self.fleet.hosts):
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -77,11 +77,20 @@
     :param control_port: TCP port for the local entry, peers and operators.
     :param poll_interval_s: time between two load polls of a runner, in seconds.
     :param log_wait_s: longest wait of one read of the log's tail, in seconds.
+    :param claim_delay_s: time after the start before tenures are claimed, in
+        seconds.
+    :param drain_deadline_s: longest time that an engine is drained for a change
+        before the change is put off, in seconds.
+    :param order_settle_s: wait before the first order to an engine that ignores
+        fencing numbers, and after one whose answer was lost, in seconds.
     """
 
     control_port: Port
     poll_interval_s: PositiveSeconds
     log_wait_s: PositiveSeconds
+    claim_delay_s: PositiveSeconds
+    drain_deadline_s: PositiveSeconds
+    order_settle_s: PositiveSeconds
 
 
 class LoggingSettings(_Section):
--- a/lacewinglug/standin/engine.py
+++ b/lacewinglug/standin/engine.py
@@ -11,14 +11,16 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from lacewinglug.platform.weights import WeightStoreClient
+from lacewinglug.requests.outcomes import FailureBody
+from lacewinglug.standin.engine_control import ControlFaults, EngineControl
 from lacewinglug.standin.faults import Faults, FaultSwitch, json_response
 from lacewinglug.upstream.messages import (
     EndLine,
     EngineOrder,
-    EngineState,
+    EngineTarget,
     GenerateRequest,
     LoadReport,
-    OrderReply,
     StreamLine,
     TokenLine,
 )
@@ -38,6 +40,8 @@
     :param slots: streams that run at the same time.
     :param checks_fencing: refuse orders with an old fencing number.
     :param change_s: time that a change of role takes, in seconds.
+    :param target: what the engine runs at the start.
+    :param weights: weight store, None when every version is at hand.
     """
 
     prefill_tokens_per_s: float = 20000.0
@@ -45,35 +49,38 @@
     slots: int = 16
     checks_fencing: bool = True
     change_s: float = 0.5
-    role: str = ""
-    version: str = ""
-    adapters: tuple[str, ...] = ()
-    state: str = "ready"
-    fencing_number: int = -1
-    order_id: str = ""
+    target: EngineTarget = field(
+        default_factory=lambda: EngineTarget(role="", version="")
+    )
+    weights: WeightStoreClient | None = None
     running: int = 0
     queued: int = 0
     queued_prefill_tokens: int = 0
-    orders: list[EngineOrder] = field(default_factory=list)
     prompts: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     switch: FaultSwitch = field(default_factory=lambda: FaultSwitch(faults=Faults()))
 
     def __post_init__(self) -> None:
         self._slots = asyncio.Semaphore(self.slots)
-        self._changes: set[asyncio.Task[None]] = set()
+        self.control = EngineControl(
+            running=lambda: self.running + self.queued,
+            checks_fencing=self.checks_fencing,
+            change_s=self.change_s,
+            target=self.target,
+            weights=self.weights,
+        )
 
     def report(self) -> LoadReport:
         """Return the load as of now."""
         return LoadReport(
-            role=self.role,
-            state=self.state,
+            role=self.control.target.role,
+            state=self.control.state,
             running=self.running,
             queued=self.queued,
             queued_prefill_tokens=self.queued_prefill_tokens,
             slots=self.slots,
-            fencing_number=self.fencing_number,
-            version=self.version,
+            fencing_number=self.control.fencing_number,
+            version=self.control.target.version,
         )
 
     async def handle_load(self, request: Request) -> Response:
@@ -86,8 +93,8 @@
         refusal = await self.switch.before()
         if refusal is not None:
             return refusal
-        if self.state != "ready":
-            return JSONResponse({"error": "the role is changing"}, status_code=503)
+        if self.control.state != "ready":
+            return _refuse_work(self.control.state)
         message = msgspec.json.decode(await request.body(), type=GenerateRequest)
         self.prompts.append(message.request_id)
         return StreamingResponse(
@@ -131,55 +138,26 @@
         if refusal is not None:
             return refusal
         order = msgspec.json.decode(await request.body(), type=EngineOrder)
-        accepted = not (
-            self.checks_fencing and order.fencing_number < self.fencing_number
-        )
-        if accepted:
-            self.orders.append(order)
-            self.fencing_number = max(self.fencing_number, order.fencing_number)
-            self.order_id = order.order_id
-            self._start_change(order)
+        reply = self.control.take(order)
         await self.switch.after()
-        reply = OrderReply(
-            accepted=accepted, fencing_number=self.fencing_number, state=self.state
-        )
-        return json_response(reply, status_code=200 if accepted else 409)
-
-    def _start_change(self, order: EngineOrder) -> None:
-        wanted = (order.role, order.version, order.adapters)
-        if wanted == (self.role, self.version, self.adapters):
-            return
-        self.state = "changing"
-        task = asyncio.create_task(self._change(order))
-        self._changes.add(task)
-        task.add_done_callback(self._changes.discard)
-
-    async def _change(self, order: EngineOrder) -> None:
-        await asyncio.sleep(self.change_s)
-        self.role = order.role
-        self.version = order.version
-        self.adapters = order.adapters
-        self.state = "ready"
+        return json_response(reply, status_code=200 if reply.accepted else 409)
 
     async def handle_state(self, request: Request) -> Response:
         """Return what the engine runs now."""
         refusal = await self.switch.before()
-        return refusal or json_response(
-            EngineState(
-                role=self.role,
-                version=self.version,
-                adapters=self.adapters,
-                state=self.state,
-                fencing_number=self.fencing_number,
-                order_id=self.order_id,
-            )
-        )
+        return refusal or json_response(self.control.read())
+
+    async def handle_control_faults(self, request: Request) -> Response:
+        """Set the faults that show in a change."""
+        body = await request.body()
+        self.control.faults = msgspec.json.decode(body, type=ControlFaults)
+        return JSONResponse({})
 
     async def handle_journal(self, request: Request) -> Response:
         """Return every order and prompt received."""
         return json_response(
             {
-                "orders": self.orders,
+                "orders": self.control.journal,
                 "prompts": self.prompts,
                 "cancelled": self.cancelled,
             }
@@ -194,11 +172,23 @@
                 Route("/orders", self.handle_order, methods=["POST"]),
                 Route("/state", self.handle_state, methods=["GET"]),
                 Route("/journal", self.handle_journal, methods=["GET"]),
+                Route("/control-faults", self.handle_control_faults, methods=["PUT"]),
                 Route("/faults", self.switch.handle_change, methods=["PUT"]),
             ]
         )
 
 
+def _refuse_work(state: str) -> Response:
+    """Return the refusal of a prompt that the engine did not begin."""
+    body = FailureBody(
+        outcome="not_run",
+        reason=f"the engine is {state}",
+        remedy="send the prompt to another runner",
+        retry_after_s=1.0,
+    )
+    return json_response(body, status_code=503)
+
+
 def _encode_line(line: StreamLine) -> bytes:
     """Return one line of a stream."""
     return msgspec.json.encode(line) + b"\n"
--- a/lacewinglug/standin/platform.py
+++ b/lacewinglug/standin/platform.py
@@ -18,6 +18,7 @@
     StoredRecord,
 )
 from lacewinglug.standin.faults import Faults, FaultSwitch, json_response
+from lacewinglug.standin.weights import WeightStoreStandin
 
 _READ_LIMIT = 500
 
@@ -71,7 +72,7 @@
     switch: FaultSwitch = field(default_factory=lambda: FaultSwitch(faults=Faults()))
     streams: dict[str, LogStream] = field(default_factory=dict)
     hosts: dict[str, HostState] = field(default_factory=dict)
-    weight_pulls: list[str] = field(default_factory=list)
+    weights: WeightStoreStandin = field(default_factory=WeightStoreStandin)
 
     def _stream(self, request: Request) -> LogStream:
         name = request.path_params["stream"]
@@ -124,14 +125,6 @@
         self.hosts = msgspec.json.decode(body, type=HostList).hosts
         return JSONResponse({})
 
-    async def handle_weights(self, request: Request) -> Response:
-        """Serve a pull of weights."""
-        refusal = await self.switch.before()
-        if refusal is not None:
-            return refusal
-        self.weight_pulls.append(request.path_params["key"])
-        return JSONResponse({"key": request.path_params["key"]})
-
     def app(self) -> Starlette:
         """Return the HTTP application."""
         records = "/streams/{stream}/records"
@@ -142,7 +135,7 @@
                 Route("/streams/{stream}/trim", self.handle_trim, methods=["POST"]),
                 Route("/hosts", self.handle_hosts, methods=["GET"]),
                 Route("/hosts", self.handle_set_hosts, methods=["PUT"]),
-                Route("/weights/{key:path}", self.handle_weights, methods=["GET"]),
+                *self.weights.routes(),
                 Route("/faults", self.switch.handle_change, methods=["PUT"]),
             ]
         )
--- /dev/null
+++ b/lacewinglug/steward/backoff.py
@@ -0,0 +1,26 @@
+"""Delays between tries."""
+
+import random
+from dataclasses import dataclass
+
+_MAX_DOUBLINGS = 16
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Backoff:
+    """An exponential delay with jitter.
+
+    :param base_s: delay after the first failure, in seconds.
+    :param cap_s: longest delay, in seconds.
+    :param rng: source of the jitter.
+    """
+
+    base_s: float
+    cap_s: float
+    rng: random.Random
+
+    def delay_s(self, attempts: int) -> float:
+        """Return the delay after a number of failures in a row, in seconds."""
+        doublings = min(max(0, attempts - 1), _MAX_DOUBLINGS)
+        full_s = min(self.cap_s, self.base_s * 2**doublings)
+        return full_s * self.rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/lacewinglug/steward/order_setup.py
@@ -0,0 +1,98 @@
+"""Puts the parts together that claim tenures and give orders."""
+
+import random
+from collections.abc import Callable, Mapping
+
+import aiohttp
+
+from lacewinglug.authority.state import ControlState
+from lacewinglug.authority.tenures import Claimant, HostKnowledge
+from lacewinglug.clock import Clock
+from lacewinglug.ids import IdFactory
+from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import LogClient
+from lacewinglug.platform.weights import HttpWeightStoreClient
+from lacewinglug.settings import Settings
+from lacewinglug.steward.backoff import Backoff
+from lacewinglug.steward.engine_change import ChangeDriver, OrderTimings
+from lacewinglug.steward.orders import OrderManager
+from lacewinglug.steward.role_source import DeclaredRoles, RoleSource
+from lacewinglug.steward.tenures import TenureKeeper
+from lacewinglug.upstream.messages import LoadReport
+from lacewinglug.upstream.orders import HttpEngineClient
+
+_CLAIM_BACKOFF_BASE_S = 1.0
+_ORDER_BACKOFF_BASE_S = 1.0
+_BACKOFF_CAP_S = 60.0
+
+
+def make_order_manager(
+    *,
+    settings: Settings,
+    incarnation: str,
+    state: ControlState,
+    log: LogClient,
+    known_hosts: Callable[[], HostKnowledge],
+    reports: Callable[[], Mapping[str, LoadReport]],
+    clock: Clock,
+    metrics: Metrics,
+    order_session: aiohttp.ClientSession,
+    rng: random.Random,
+    roles: RoleSource | None = None,
+) -> OrderManager:
+    """Return the order manager of a steward.
+
+    :param settings: settings of the host.
+    :param incarnation: name of this run of the process.
+    :param state: the replayed state.
+    :param log: client of the log.
+    :param known_hosts: returns what is known of the hosts.
+    :param reports: returns the last load report of each runner.
+    :param clock: source of time.
+    :param metrics: counters.
+    :param order_session: session made by ``make_order_session``.
+    :param rng: source of jitter.
+    :param roles: names the wanted roles, by default the declared ones.
+    """
+    timings = OrderTimings(
+        drain_deadline_s=settings.steward.drain_deadline_s,
+        settle_s=settings.steward.order_settle_s,
+    )
+    ids = IdFactory(host=f"{settings.host.name}-orders", incarnation=incarnation)
+    keeper = TenureKeeper(
+        claimant=Claimant(
+            host=settings.host.name,
+            incarnation=incarnation,
+            machine=settings.host.machine_name,
+        ),
+        state=state,
+        log=log,
+        ids=ids,
+        known_hosts=known_hosts,
+        clock=clock,
+        backoff=Backoff(base_s=_CLAIM_BACKOFF_BASE_S, cap_s=_BACKOFF_CAP_S, rng=rng),
+        metrics=metrics,
+        claim_after_s=clock.now_s() + settings.steward.claim_delay_s,
+    )
+    driver = ChangeDriver(
+        keeper=keeper,
+        client=HttpEngineClient(session=order_session),
+        weights=HttpWeightStoreClient(
+            session=order_session, base_url=settings.platform.weight_store_url
+        ),
+        ids=ids,
+        clock=clock,
+        backoff=Backoff(base_s=_ORDER_BACKOFF_BASE_S, cap_s=_BACKOFF_CAP_S, rng=rng),
+        metrics=metrics,
+        timings=timings,
+    )
+    return OrderManager(
+        state=state,
+        keeper=keeper,
+        driver=driver,
+        clock=clock,
+        metrics=metrics,
+        roles=roles or DeclaredRoles(),
+        reports=reports,
+        timings=timings,
+    )
--- a/lacewinglug/steward/poller.py
+++ b/lacewinglug/steward/poller.py
@@ -67,6 +67,10 @@
             report=report, received_at_s=self.clock.now_s()
         )
 
+    def latest(self) -> dict[str, LoadReport]:
+        """Return the last report of each runner."""
+        return {name: item.report for name, item in self.reports.items()}
+
     def statuses(self) -> list[RunnerStatus]:
         """Return the last reports with their ages."""
         now_s = self.clock.now_s()
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 import aiohttp
 
@@ -9,12 +10,16 @@
 from lacewinglug.clock import Clock
 from lacewinglug.membership.neighbours import HostTable
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.hosts import HttpHostListClient
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
+from lacewinglug.steward.known_hosts import KnownHosts
+from lacewinglug.steward.order_setup import make_order_manager
 from lacewinglug.steward.poller import RunnerPoller
 from lacewinglug.steward.server import ControlServer
 from lacewinglug.steward.tail import LogTail
 from lacewinglug.upstream.client import RunnerClient
+from lacewinglug.upstream.orders import make_order_session
 
 logger = logging.getLogger(__name__)
 
@@ -30,7 +35,11 @@
     :param metrics: counters.
     """
     state = ControlState()
-    async with aiohttp.ClientSession() as session:
+    table = HostTable()
+    async with (
+        aiohttp.ClientSession() as session,
+        make_order_session() as order_session,
+    ):
         poller = RunnerPoller(
             client=RunnerClient(session=session),
             state=state,
@@ -44,12 +53,34 @@
             endpoint=f"tcp://{settings.host.address}:{settings.steward.control_port}",
             state=state,
             poller=poller,
-            table=HostTable(),
+            table=table,
             clock=clock,
             metrics=metrics,
         )
+        log = HttpLogClient(session=session, base_url=settings.platform.log_url)
+        known_hosts = KnownHosts(
+            host=settings.host.name,
+            table=table,
+            client=HttpHostListClient(
+                session=session, base_url=settings.platform.host_list_url
+            ),
+            clock=clock,
+            metrics=metrics,
+        )
+        manager = make_order_manager(
+            settings=settings,
+            incarnation=incarnation,
+            state=state,
+            log=log,
+            known_hosts=known_hosts.knowledge,
+            reports=poller.latest,
+            clock=clock,
+            metrics=metrics,
+            order_session=order_session,
+            rng=random.Random(incarnation),
+        )
         tail = LogTail(
-            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
+            log=log,
             state=state,
             clock=clock,
             wait_s=settings.steward.log_wait_s,
@@ -61,3 +92,6 @@
             group.create_task(tail.run())
             group.create_task(poller.run())
             group.create_task(server.run())
+            group.create_task(known_hosts.run())
+            await server.bound.wait()
+            group.create_task(manager.run())
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -41,6 +41,8 @@
     :param table: status of the hosts.
     :param clock: source of time.
     :param metrics: counters.
+    :param bound: set once the control port is bound, so that no other process of
+        this host holds it.
     """
 
     host: str
@@ -51,6 +53,7 @@
     table: HostTable
     clock: Clock
     metrics: Metrics
+    bound: asyncio.Event = field(default_factory=asyncio.Event)
     _entry_identity: bytes = b""
     _config_changed: asyncio.Event = field(default_factory=asyncio.Event)
     _peers: dict[str, zmq.asyncio.Socket] = field(default_factory=dict)
@@ -65,6 +68,7 @@
         socket = context.socket(zmq.ROUTER)
         socket.linger = 0
         socket.bind(self.endpoint)
+        self.bound.set()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._receive(socket))
--- a/lacewinglug/upstream/client.py
+++ b/lacewinglug/upstream/client.py
@@ -9,18 +9,14 @@
 from lacewinglug.upstream.messages import (
     CallReply,
     EndLine,
-    EngineOrder,
-    EngineState,
     GenerateRequest,
     LoadReport,
-    OrderReply,
     StreamLine,
     TokenLine,
 )
 
 KEY_HEADER = "Idempotency-Key"
 _POLL_TIMEOUT_S = 2.0
-_ORDER_TIMEOUT_S = 5.0
 _CONNECT_TIMEOUT_S = 2.0
 _LINE_TIMEOUT_S = 5.0
 
@@ -54,20 +50,6 @@
         body = await self._fetch("GET", f"{url}/load", None, timeout)
         return msgspec.json.decode(body, type=LoadReport)
 
-    async def fetch_state(self, url: str) -> EngineState:
-        """Return what an engine runs now."""
-        timeout = aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
-        body = await self._fetch("GET", f"{url}/state", None, timeout)
-        return msgspec.json.decode(body, type=EngineState)
-
-    async def give_order(self, url: str, order: EngineOrder) -> OrderReply:
-        """Send an order to an engine and return its answer."""
-        timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
-        body = await self._fetch(
-            "POST", f"{url}/orders", msgspec.json.encode(order), timeout
-        )
-        return msgspec.json.decode(body, type=OrderReply)
-
     async def _fetch(
         self,
         method: str,
--- a/lacewinglug/upstream/messages.py
+++ b/lacewinglug/upstream/messages.py
@@ -72,23 +72,50 @@
 StreamLine = TokenLine | EndLine
 
 
+class EngineTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole state that an engine is told to be in.
+
+    :param role: engine role.
+    :param version: version of the weights.
+    :param adapters: adapters to load, in order of name.
+    :param accepts_work: whether the engine takes new prompts; without it the
+        running ones go on and new ones are refused as not run.
+    :param weight_key: name of the weights in the weight store.
+    """
+
+    role: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    accepts_work: bool = True
+    weight_key: str = ""
+
+    def same_load(self, other: "EngineTarget") -> bool:
+        """Return whether the other target runs the same role and weights."""
+        return (self.role, self.version, self.adapters) == (
+            other.role,
+            other.version,
+            other.adapters,
+        )
+
+    def is_met_by(self, other: "EngineTarget") -> bool:
+        """Return whether an engine in the other state needs no order."""
+        return self.same_load(other) and self.accepts_work == other.accepts_work
+
+
 class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """The whole wanted state of an engine.
+    """An order to an engine.
 
-    :param fencing_number: offset of the tenure of the sender.
+    :param fencing_number: number of the order; an engine that checks it refuses
+        every lower one from then on.
     :param order_id: id of the order, the same in every copy.
     :param sender: host and incarnation of the sender.
-    :param role: engine role.
-    :param version: version of the weights.
-    :param adapters: adapters to load.
+    :param target: the wanted state, None to raise the fencing number only.
     """
 
     fencing_number: int
     order_id: str
     sender: str
-    role: str
-    version: str
-    adapters: tuple[str, ...] = ()
+    target: EngineTarget | None = None
 
 
 class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,7 +123,7 @@
 
     :param accepted: whether the engine carries it out.
     :param fencing_number: highest fencing number seen by the engine.
-    :param state: ``ready`` or ``changing``.
+    :param state: ``ready``, ``changing`` or ``draining``.
     """
 
     accepted: bool
@@ -110,9 +137,12 @@
     :param role: engine role in force.
     :param version: version of the weights in force.
     :param adapters: adapters loaded.
-    :param state: ``ready`` or ``changing``.
+    :param state: ``ready``, ``changing`` or ``draining``.
     :param fencing_number: highest fencing number seen.
     :param order_id: last order that was accepted.
+    :param accepts_work: whether the engine takes new prompts.
+    :param running: prompts that run or wait in the engine.
+    :param error: why the last order failed, empty when it did not.
     """
 
     role: str
@@ -121,6 +151,18 @@
     state: str
     fencing_number: int
     order_id: str
+    accepts_work: bool = True
+    running: int = 0
+    error: str = ""
+
+    def as_target(self) -> EngineTarget:
+        """Return the state as a target that the engine already meets."""
+        return EngineTarget(
+            role=self.role,
+            version=self.version,
+            adapters=tuple(sorted(self.adapters)),
+            accepts_work=self.accepts_work,
+        )
 
 
 class CallRequest(msgspec.Struct, frozen=True, kw_only=True):
