--- a/lacewinglug/standin/engine_control.py
+++ b/lacewinglug/standin/engine_control.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lacewinglug.clock import Clock, SystemClock
 from lacewinglug.platform.weights import WeightStoreClient, WeightsUnavailableError
 from lacewinglug.upstream.messages import (
     EngineOrder,
@@ -56,6 +57,7 @@
     :param change_s: time that a change of role takes, in seconds.
     :param target: what the engine runs.
     :param weights: weight store, None when every version is at hand.
+    :param clock: source of time.
     """
 
     running: Callable[[], int]
@@ -65,6 +67,7 @@
         default_factory=lambda: EngineTarget(role="", version="")
     )
     weights: WeightStoreClient | None = None
+    clock: Clock = field(default_factory=SystemClock)
     fencing_number: int = -1
     order_id: str = ""
     error: str = ""
@@ -139,7 +142,7 @@
             self.error = str(error)
             self._note("failed", order)
             return
-        await asyncio.sleep(self.change_s)
+        await self.clock.sleep(self.change_s)
         if self.faults.crash_changes > 0:
             self.faults.crash_changes -= 1
             self._restart(order)
--- a/lacewinglug/steward/orders.py
+++ b/lacewinglug/steward/orders.py
@@ -68,7 +68,7 @@
     async def _run_orders(self) -> None:
         while True:
             self.start_steps()
-            await self._release_when_draining()
+            await self.release_when_draining()
             await self.clock.sleep(self.timings.step_interval_s)
 
     def start_steps(self) -> None:
@@ -165,7 +165,7 @@
             for name in runners
         }
 
-    async def _release_when_draining(self) -> None:
+    async def release_when_draining(self) -> None:
         """Hand the tenures of a host on that an operator drains."""
         if self.keeper.claimant.host in self.state.draining:
             for domain in self._releasable():
