--- a/lacewinglug/authority/replay.py
+++ b/lacewinglug/authority/replay.py
@@ -24,6 +24,7 @@
 )
 from lacewinglug.authority.state import NO_TENURE, ControlState, Publication, Tenure
 from lacewinglug.config.changes import apply_change, digest_fleet
+from lacewinglug.config.objects import Fleet
 from lacewinglug.platform.log import StoredRecord
 
 __all__ = [
@@ -65,9 +66,9 @@
     state.last_digest = digest_record(stored.data)
     _forget_old(state)
     if isinstance(record, UnreadableReason):
-        state.skipped[record.value] += 1
+        state.count_skipped(record.value)
     elif is_copy(state, record):
-        state.skipped["copy"] += 1
+        state.count_skipped("copy")
     else:
         state.seen[record.record_id] = stored.offset
         _apply(state, record, stored.offset)
@@ -110,7 +111,7 @@
 def _apply(state: ControlState, record: AnyRecord, offset: int) -> None:
     """Apply a record that is not a copy."""
     if is_late(record, offset):
-        state.skipped["late"] += 1
+        state.count_skipped("late")
         if isinstance(record, ConfigPublished):
             _refuse(state, record, offset, refusal="late", revision=state.revision)
         return
@@ -162,7 +163,7 @@
         )
         return
     fleet = apply_change(state.fleet, record.change)
-    if digest_fleet(fleet) != record.digest:
+    if not is_whole(fleet, record):
         _refuse(state, record, offset, refusal="digest", revision=state.revision)
         return
     state.revision += 1
@@ -181,6 +182,11 @@
     return record.base_revision == state.revision
 
 
+def is_whole(fleet: Fleet, record: ConfigPublished) -> bool:
+    """Return whether a change gives the configuration that its publisher checked."""
+    return digest_fleet(fleet) == record.digest
+
+
 def _refuse(
     state: ControlState,
     record: ConfigPublished,
@@ -257,7 +263,7 @@
         if not isinstance(record, SnapshotTaken):
             continue
         covered = record.state.next_offset
-        if not first_offset <= covered <= stored.offset:
+        if not first_offset <= covered <= stored.offset or record.state.halted:
             continue
         if newest is None or covered > newest.next_offset:
             newest = record.state
@@ -268,8 +274,10 @@
     """Take over a state that covers more records, in place.
 
     :returns: whether it was taken; one that covers no more records, or whose
-        revision is older, is ignored.
+        revision is older, is ignored, and so is any while the replay is halted.
     """
+    if state.halted or newer.halted:
+        return False
     if newer.next_offset <= state.next_offset or newer.revision < state.revision:
         return False
     for item in fields(ControlState):
--- a/lacewinglug/authority/state.py
+++ b/lacewinglug/authority/state.py
@@ -1,6 +1,5 @@
 """The state that every process computes from the control stream."""
 
-from collections import Counter
 from dataclasses import dataclass, field
 
 from lacewinglug.config.objects import Fleet
@@ -77,4 +76,8 @@
     machines: dict[str, str] = field(default_factory=dict)
     seen: dict[str, int] = field(default_factory=dict)
     halted: str = ""
-    skipped: Counter[str] = field(default_factory=Counter, compare=False)
+    skipped: dict[str, int] = field(default_factory=dict, compare=False)
+
+    def count_skipped(self, reason: str) -> None:
+        """Count a record that had no effect."""
+        self.skipped[reason] = self.skipped.get(reason, 0) + 1
