Spread host states and log records between stewards

Cause: every steward sent heartbeats to every other, so traffic grew with the square of the fleet; a slow tail of the log delayed a configuration on its own; a steward that started while the log was down had nothing to serve; expired or lost records were retried for ever.

- Each host is watched by three others in its rendezvous order.
Silence is met by a new connection, then by asking other watchers, then by suspicion.
A steward that was paused or hears nobody suspects nobody.
- Statuses carry a version that only their host raises, and spread with the heartbeats.
Names that leave, by the host list or a runner's own report, spread the same way, at once.
- New records are handed to neighbours; a steward that is behind asks for what is missing, or for a whole state.
- The tail checks the last record each time the log is reached anew.
- A host's life follows charts/host.toml.

--- a/lacewinglug/authority/replay.py
+++ b/lacewinglug/authority/replay.py
@@ -138,7 +138,7 @@
             state.machines[target] = machine
             _end_tenures(state, target)
         case SnapshotTaken():
-            pass
+            state.snapshot_offset = offset
 
 
 def _end_tenures(state: ControlState, host: str) -> None:
@@ -174,6 +174,7 @@
         revision=state.revision,
         publisher=record.publisher,
         offset=offset,
+        digest=record.digest,
     )
 
 
@@ -202,6 +203,7 @@
         publisher=state.publishers.get(revision, ""),
         refusal=refusal,
         offset=offset,
+        digest=record.digest,
     )
 
 
--- a/lacewinglug/authority/state.py
+++ b/lacewinglug/authority/state.py
@@ -36,6 +36,7 @@
     :param refusal: ``raced``, ``unknown_base``, ``digest`` or ``late``; empty
         when accepted.
     :param offset: offset of the record.
+    :param digest: digest of the configuration that was published.
     """
 
     accepted: bool
@@ -43,6 +44,7 @@
     publisher: str
     refusal: str = ""
     offset: int = -1
+    digest: str = ""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -59,6 +61,7 @@
     :param draining: hosts and runners that get no new work.
     :param withdrawn: hosts and runners that an operator withdrew.
     :param machines: machine that carries the name of each replaced host.
+    :param snapshot_offset: offset of the last snapshot, -1 for none.
     :param seen: offset of each remembered record by its id.
     :param halted: why no further record is applied, empty while they are.
     :param skipped: number of records skipped by reason, in this process only.
@@ -74,6 +77,7 @@
     draining: set[str] = field(default_factory=set)
     withdrawn: set[str] = field(default_factory=set)
     machines: dict[str, str] = field(default_factory=dict)
+    snapshot_offset: int = -1
     seen: dict[str, int] = field(default_factory=dict)
     halted: str = ""
     skipped: dict[str, int] = field(default_factory=dict, compare=False)
--- a/lacewinglug/charts/__init__.py
+++ b/lacewinglug/charts/__init__.py
@@ -12,7 +12,7 @@
 
 from transitions import Machine, MachineError
 
-CHART_NAMES = ("tenure", "engine_change")
+CHART_NAMES = ("tenure", "engine_change", "host")
 ANY_STATE = "*"
 
 
@@ -71,6 +71,13 @@
             return tuple(self.states)
         return transition.source
 
+    def allows(self, state: str, event: str) -> bool:
+        """Return whether an event has a transition from a state."""
+        return any(
+            item.event == event and state in self.sources(item)
+            for item in self.transitions
+        )
+
     def apply(self, model: ChartModel, event: str) -> str:
         """Apply an event to an object and return the state that it is in then.
 
--- a/lacewinglug/config/publishing.py
+++ b/lacewinglug/config/publishing.py
@@ -2,13 +2,25 @@
 
 from dataclasses import dataclass
 
-from lacewinglug.authority.records import AnyRecord, ConfigPublished, encode_record
-from lacewinglug.authority.replay import ControlState, Publication, replay_record
+from lacewinglug.authority.reading import catch_up, read_state
+from lacewinglug.authority.records import (
+    MAX_RECORD_BYTES,
+    AnyRecord,
+    ConfigPublished,
+    encode_record,
+)
+from lacewinglug.authority.state import ControlState, Publication
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Fleet
-from lacewinglug.errors import AppendOutcomeUnknownError
+from lacewinglug.errors import (
+    AppendOutcomeUnknownError,
+    LogUnavailableError,
+    UserError,
+)
 from lacewinglug.platform.log import CONTROL_STREAM, LogClient
 
+__all__ = ["PublishResult", "append_record", "publish_fleet", "read_state"]
+
 READ_BACK_WAIT_S = 2.0
 _READ_BACK_ATTEMPTS = 5
 
@@ -18,30 +30,17 @@
     """What became of a publication.
 
     :param record_id: id of the publication, for asking again.
+    :param base_revision: revision that it is based on.
     :param publication: the verdict, None while it is not known.
     :param unchanged: nothing differs from the revision in force.
+    :param differs: the publication of that id holds another configuration.
     """
 
     record_id: str
+    base_revision: int
     publication: Publication | None
     unchanged: bool = False
-
-
-async def read_state(log: LogClient) -> ControlState:
-    """Replay the whole control stream as of now."""
-    state = ControlState()
-    await catch_up(log, state)
-    return state
-
-
-async def catch_up(log: LogClient, state: ControlState) -> None:
-    """Replay all records that the state has not seen yet."""
-    while True:
-        reply = await log.read(CONTROL_STREAM, state.next_offset, wait_s=0.0)
-        if not reply.records:
-            return
-        for record in reply.records:
-            replay_record(state, record)
+    differs: bool = False
 
 
 async def publish_fleet(
@@ -65,13 +64,15 @@
         newest.
     """
     state = await read_state(log)
+    base = state.revision if base_revision is None else base_revision
     settled = state.publications.get(record_id)
     if settled is not None:
-        return PublishResult(record_id=record_id, publication=settled)
-    base = state.revision if base_revision is None else base_revision
+        return _make_result(record_id, base, settled, fleet)
     change = diff_fleets(state.fleet, fleet)
     if change.is_empty():
-        return PublishResult(record_id=record_id, publication=None, unchanged=True)
+        return PublishResult(
+            record_id=record_id, base_revision=base, publication=None, unchanged=True
+        )
     record = ConfigPublished(
         record_id=record_id,
         as_of=state.next_offset,
@@ -80,18 +81,44 @@
         change=change,
         digest=digest_fleet(fleet),
     )
-    await append_record(log, record)
+    try:
+        await append_record(log, record)
+        publication = await _read_verdict(log, state, record_id)
+    except AppendOutcomeUnknownError:
+        publication = None
+    return _make_result(record_id, base, publication, fleet)
+
+
+def _make_result(
+    record_id: str, base: int, publication: Publication | None, fleet: Fleet
+) -> PublishResult:
     return PublishResult(
-        record_id=record_id, publication=await _read_verdict(log, state, record_id)
+        record_id=record_id,
+        base_revision=base,
+        publication=publication,
+        differs=publication is not None and publication.digest != digest_fleet(fleet),
     )
 
 
 async def append_record(log: LogClient, record: AnyRecord) -> None:
-    """Append a record; a lost reply is settled by reading the log."""
+    """Append a record; a lost reply is settled by reading the log.
+
+    :raises AppendOutcomeUnknownError: the log does not show the record yet.
+    :raises LogUnavailableError: the record was not appended.
+    """
+    data = encode_record(record)
+    if len(data) > MAX_RECORD_BYTES:
+        raise UserError(
+            f"the record takes {len(data)} bytes of {MAX_RECORD_BYTES} at most; "
+            "publish the change in parts"
+        )
     try:
-        await log.append(CONTROL_STREAM, encode_record(record))
-    except AppendOutcomeUnknownError:
-        state = await read_state(log)
+        await log.append(CONTROL_STREAM, data)
+    except AppendOutcomeUnknownError as unknown:
+        try:
+            state = await read_state(log)
+        except LogUnavailableError:
+            raise unknown from None
         if record.record_id not in state.seen:
             raise
 
@@ -101,13 +128,12 @@
 ) -> Publication | None:
     """Return the verdict on a publication once its record is read back."""
     for _ in range(_READ_BACK_ATTEMPTS):
-        await catch_up(log, state)
-        publication = state.publications.get(record_id)
-        if publication is not None:
-            return publication
-        reply = await log.read(
-            CONTROL_STREAM, state.next_offset, wait_s=READ_BACK_WAIT_S
-        )
-        for record in reply.records:
-            replay_record(state, record)
+        try:
+            await catch_up(log, state)
+            publication = state.publications.get(record_id)
+            if publication is not None:
+                return publication
+            await log.read(CONTROL_STREAM, state.next_offset, wait_s=READ_BACK_WAIT_S)
+        except LogUnavailableError:
+            return None
     return None
--- a/lacewinglug/control.py
+++ b/lacewinglug/control.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from lacewinglug.authority.replay import Tenure
+from lacewinglug.authority.state import ControlState, Tenure
 from lacewinglug.config.objects import Fleet
+from lacewinglug.platform.log import StoredRecord
 from lacewinglug.upstream.messages import LoadReport
 
 
@@ -37,6 +38,7 @@
     :param draining: hosts and runners that get no new work.
     :param withdrawn: hosts and runners that are gone.
     :param tenures: current tenure of each order domain.
+    :param halted: why no further record is applied, empty while they are.
     """
 
     revision: int
@@ -45,6 +47,7 @@
     draining: list[str]
     withdrawn: list[str]
     tenures: dict[str, Tenure]
+    halted: str = ""
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -67,7 +70,10 @@
     :param incarnation: run of its entry process, empty when unknown.
     :param revision: revision that its entry serves with.
     :param running: requests in progress at its entry.
-    :param state: ``live``, ``suspect``, ``leaving`` or ``gone``.
+    :param state: ``live``, ``suspect`` or ``leaving`` between stewards; any
+        state of the chart ``host`` towards the entry.
+    :param version: number that the host raises with each change.
+    :param leaving_upstreams: hosts and runners that it saw leaving.
     """
 
     host: str
@@ -75,31 +81,103 @@
     revision: int
     running: int
     state: str
+    version: int = 0
+    leaving_upstreams: tuple[str, ...] = ()
 
 
 class StatusView(_Message, frozen=True, kw_only=True):
     """Load of the runners and state of the hosts.
 
     :param runners: status of the runners that the steward polls.
-    :param hosts: status of the hosts.
+    :param hosts: status of the hosts, None when nothing changed.
+    :param leaving: hosts and runners that some host saw leaving.
     """
 
     runners: list[RunnerStatus]
-    hosts: list[HostStatus]
+    hosts: list[HostStatus] | None
+    leaving: list[str] = []
 
 
-class PeerHeartbeat(_Message, frozen=True, kw_only=True):
+class StatusChange(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A host's status in the compact form that stewards exchange."""
+
+    host: str
+    incarnation: str
+    version: int
+    revision: int
+    running: int
+    state: str
+    leaving_upstreams: tuple[str, ...]
+
+
+class PeerHeartbeat(_Message, frozen=True, kw_only=True, tag="h"):
     """Heartbeat between stewards.
 
-    :param status: status of the sender's host.
-    :param steward_incarnation: run of the sender.
+    :param host: name of the sender's host.
+    :param next_offset: offset up to which the sender replayed the log.
+    :param changes: statuses that the receiver may lack.
+    :param wants_reply: whether the receiver answers with a heartbeat.
+    """
+
+    host: str
+    next_offset: int
+    changes: list[StatusChange]
+    wants_reply: bool
+
+
+class ProbeRequest(_Message, frozen=True, kw_only=True):
+    """Asks a steward to send a heartbeat to a host that is silent here.
+
+    :param host: name of the sender's host.
+    :param target: the silent host.
     """
 
-    status: HostStatus
-    steward_incarnation: str
+    host: str
+    target: str
+
+
+class ProbeReply(_Message, frozen=True, kw_only=True):
+    """Says that a host answered.
+
+    :param target: the host that answered.
+    """
 
+    target: str
 
-ControlMessage = EntryHello | ConfigView | StatusView | PeerHeartbeat
+
+class RecordsWanted(_Message, frozen=True, kw_only=True):
+    """Asks a steward for records of the log.
+
+    :param host: name of the sender's host.
+    :param from_offset: offset of the first record wanted.
+    """
+
+    host: str
+    from_offset: int
+
+
+class PeerRecords(_Message, frozen=True, kw_only=True):
+    """Records of the log, handed on.
+
+    :param records: consecutive records.
+    """
+
+    records: list[StoredRecord]
+
+
+class PeerState(_Message, frozen=True, kw_only=True):
+    """A whole replayed state, for a steward that lacks too many records.
+
+    :param state: the state.
+    """
+
+    state: ControlState
+
+
+PeerMessage = (
+    PeerHeartbeat | ProbeRequest | ProbeReply | RecordsWanted | PeerRecords | PeerState
+)
+ControlMessage = EntryHello | ConfigView | StatusView | PeerMessage
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(ControlMessage)
@@ -116,3 +194,29 @@
         return _decoder.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError):
         return None
+
+
+def pack_status(status: HostStatus) -> StatusChange:
+    """Return the compact form of a status."""
+    return StatusChange(
+        host=status.host,
+        incarnation=status.incarnation,
+        version=status.version,
+        revision=status.revision,
+        running=status.running,
+        state=status.state,
+        leaving_upstreams=status.leaving_upstreams,
+    )
+
+
+def unpack_status(change: StatusChange) -> HostStatus:
+    """Return a status from its compact form."""
+    return HostStatus(
+        host=change.host,
+        incarnation=change.incarnation,
+        version=change.version,
+        revision=change.revision,
+        running=change.running,
+        state=change.state,
+        leaving_upstreams=change.leaving_upstreams,
+    )
--- a/lacewinglug/entry/link.py
+++ b/lacewinglug/entry/link.py
@@ -18,6 +18,8 @@
 from lacewinglug.entry.view import EntryView
 
 HELLO_INTERVAL_S = 0.5
+_KEEPALIVE_INTERVAL_MS = 1000
+_KEEPALIVE_TIMEOUT_MS = 3000
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +42,8 @@
         context = zmq.asyncio.Context.instance()
         socket = context.socket(zmq.DEALER)
         socket.linger = 0
+        socket.heartbeat_ivl = _KEEPALIVE_INTERVAL_MS
+        socket.heartbeat_timeout = _KEEPALIVE_TIMEOUT_MS
         socket.connect(self.address)
         try:
             async with asyncio.TaskGroup() as group:
--- a/lacewinglug/entry/view.py
+++ b/lacewinglug/entry/view.py
@@ -17,6 +17,7 @@
     config: ConfigView | None = None
     runners: dict[str, RunnerStatus] = field(default_factory=dict)
     hosts: dict[str, HostStatus] = field(default_factory=dict)
+    leaving: frozenset[str] = frozenset()
 
     @property
     def revision(self) -> int:
@@ -30,7 +31,7 @@
 
     def update_config(self, view: ConfigView) -> bool:
         """Take a newer configuration; return whether it was newer."""
-        if self.config is not None and view.next_offset < self.config.next_offset:
+        if self.config is not None and _is_older(view, self.config):
             return False
         self.config = view
         return True
@@ -38,13 +39,15 @@
     def update_status(self, view: StatusView) -> None:
         """Take the newest load reports and host states."""
         self.runners.update({status.runner: status for status in view.runners})
-        self.hosts = {status.host: status for status in view.hosts}
+        if view.hosts is not None:
+            self.hosts = {status.host: status for status in view.hosts}
+        self.leaving = frozenset(view.leaving)
 
     def unavailable(self) -> set[str]:
         """Return hosts and runners that get no new work."""
         if self.config is None:
             return set()
-        names = set(self.config.draining) | set(self.config.withdrawn)
+        names = {*self.config.draining, *self.config.withdrawn, *self.leaving}
         names.update(host for host in self.fleet.hosts if not self._is_live(host))
         return names
 
@@ -62,3 +65,8 @@
         if zone.region == self.fleet.region_of(self.availability_zone):
             return zone.one_way_delay_s
         return self.fleet.regions[zone.region].one_way_delay_s
+
+
+def _is_older(view: ConfigView, known: ConfigView) -> bool:
+    """Return whether a configuration would take the entry back."""
+    return view.next_offset < known.next_offset or view.revision < known.revision
--- a/lacewinglug/errors.py
+++ b/lacewinglug/errors.py
@@ -43,6 +43,36 @@
         self.first_offset = first_offset
 
 
+class SnapshotMissingError(PlatformError):
+    """Records expired, and no snapshot in the log covers them.
+
+    :param first_offset: oldest offset that the log still holds.
+    """
+
+    def __init__(self, *, first_offset: int) -> None:
+        super().__init__(
+            f"the records before offset {first_offset} expired and no snapshot in "
+            "the log covers them; start one steward that was running before, or "
+            "see docs/operations/configuration-and-hosts.md"
+        )
+        self.first_offset = first_offset
+
+
+class LogRewoundError(PlatformError):
+    """The log no longer holds what was read from it.
+
+    :param offset: offset at which it differs.
+    """
+
+    def __init__(self, *, offset: int) -> None:
+        super().__init__(
+            f"the log lost or changed the record at offset {offset}; nothing is "
+            "applied until it is whole again, see "
+            "docs/operations/configuration-and-hosts.md"
+        )
+        self.offset = offset
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Problem:
     """One fault found in a configuration or in settings.
--- a/lacewinglug/platform/hosts.py
+++ b/lacewinglug/platform/hosts.py
@@ -55,4 +55,7 @@
             raise PlatformError(f"cannot read the host list: {error!r}") from None
         if response.status != 200:
             raise PlatformError(f"the host list answered status {response.status}")
-        return msgspec.json.decode(body, type=HostList)
+        try:
+            return msgspec.json.decode(body, type=HostList)
+        except msgspec.MsgspecError as error:
+            raise PlatformError(f"the host list is not readable: {error}") from None
--- a/lacewinglug/platform/log.py
+++ b/lacewinglug/platform/log.py
@@ -14,6 +14,10 @@
 
 CONTROL_STREAM = "control"
 _TIMEOUT_MARGIN_S = 2.0
+_CREATED = 201
+_GONE = 410
+_REFUSED = frozenset({400, 403, 404, 405, 411, 413, 415, 429, 503})
+"""Statuses by which the log says that it did not append."""
 
 
 class StoredRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,10 +36,13 @@
 
     :param records: records in order of offset.
     :param next_offset: offset to read from next.
+    :param end_offset: offset after the last record of the stream, -1 when the
+        service does not say.
     """
 
     records: list[StoredRecord]
     next_offset: int
+    end_offset: int = -1
 
 
 class AppendReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -90,18 +97,26 @@
         try:
             async with self.session.post(url, data=data, timeout=timeout) as response:
                 body = await response.read()
-                if response.status != 201:
-                    raise LogUnavailableError(
-                        f"the log refused the append with status {response.status}; "
-                        "try again later"
-                    )
         except aiohttp.ClientConnectorError as error:
             raise LogUnavailableError(f"cannot connect to the log: {error}") from None
         except (aiohttp.ClientError, TimeoutError) as error:
             raise AppendOutcomeUnknownError(
                 f"the reply to an append was lost: {error!r}; read the log to settle it"
             ) from None
-        return msgspec.json.decode(body, type=AppendReply).offset
+        if response.status in _REFUSED:
+            raise LogUnavailableError(
+                f"the log refused the append with status {response.status}; "
+                "try again later"
+            )
+        try:
+            if response.status == _CREATED:
+                return msgspec.json.decode(body, type=AppendReply).offset
+        except msgspec.MsgspecError:
+            pass
+        raise AppendOutcomeUnknownError(
+            f"the log answered an append with status {response.status} and no "
+            "offset; read the log to settle it"
+        )
 
     async def read(self, stream: str, offset: int, *, wait_s: float) -> ReadReply:
         """Read records from ``offset`` on, waiting for the first one."""
@@ -115,11 +130,20 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LogUnavailableError(f"cannot read the log: {error!r}") from None
-        if response.status == 410:
-            expired = msgspec.json.decode(body, type=ExpiredReply)
-            raise RecordsExpiredError(first_offset=expired.first_offset)
-        if response.status != 200:
+        try:
+            match response.status:
+                case 200:
+                    return msgspec.json.decode(body, type=ReadReply)
+                case status if status == _GONE:
+                    first_offset = msgspec.json.decode(
+                        body, type=ExpiredReply
+                    ).first_offset
+                case status:
+                    raise LogUnavailableError(
+                        f"the log answered a read with status {status}"
+                    )
+        except msgspec.MsgspecError as error:
             raise LogUnavailableError(
-                f"the log answered a read with status {response.status}"
-            )
-        return msgspec.json.decode(body, type=ReadReply)
+                f"the log answered a read with unreadable bytes: {error}"
+            ) from None
+        raise RecordsExpiredError(first_offset=first_offset)
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -77,11 +77,14 @@
     :param control_port: TCP port for the local entry, peers and operators.
     :param poll_interval_s: time between two load polls of a runner, in seconds.
     :param log_wait_s: longest wait of one read of the log's tail, in seconds.
+    :param snapshot_interval_s: longest time between two snapshots of the control
+        stream, in seconds; a third of the time that the log keeps records.
     """
 
     control_port: Port
     poll_interval_s: PositiveSeconds
     log_wait_s: PositiveSeconds
+    snapshot_interval_s: PositiveSeconds
 
 
 class LoggingSettings(_Section):
--- a/lacewinglug/standin/platform.py
+++ b/lacewinglug/standin/platform.py
@@ -103,7 +103,11 @@
                 await asyncio.wait_for(grown.wait(), wait_s)
         records = stream.read(offset) if offset < stream.next_offset else []
         return json_response(
-            ReadReply(records=records, next_offset=offset + len(records))
+            ReadReply(
+                records=records,
+                next_offset=offset + len(records),
+                end_offset=stream.next_offset,
+            )
         )
 
     async def handle_trim(self, request: Request) -> Response:
--- /dev/null
+++ b/lacewinglug/steward/peers.py
@@ -0,0 +1,217 @@
+"""What a steward says to other stewards, without sockets or a clock."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from lacewinglug.control import (
+    PeerHeartbeat,
+    PeerMessage,
+    PeerRecords,
+    PeerState,
+    ProbeReply,
+    ProbeRequest,
+    RecordsWanted,
+    pack_status,
+    unpack_status,
+)
+from lacewinglug.membership.detector import (
+    AskOthers,
+    FailureDetector,
+    Reconnect,
+    Suspect,
+)
+from lacewinglug.membership.neighbours import MonitorPlan
+from lacewinglug.membership.table import HostTable
+from lacewinglug.platform.log import StoredRecord
+from lacewinglug.steward.replica import Replica
+
+HEARTBEAT_INTERVAL_S = 1.0
+_ASK_AFTER_S = 1.0
+_HAND_ON_BYTES = 16 * 1024
+_PROBE_MEMORY_S = 5.0
+_NEIGHBOUR_MEMORY_S = 10.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """A message to the steward of a host."""
+
+    host: str
+    message: PeerMessage
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Renew:
+    """The connection to a host is to be replaced."""
+
+    host: str
+
+
+PeerAction = Send | Renew
+
+
+@dataclass(kw_only=True)
+class PeerExchange:
+    """Owns the host table and decides which messages go to which peers.
+
+    :param host: name of this host.
+    :param replica: the replayed state, to hand on and to bring up to date.
+    """
+
+    host: str
+    replica: Replica
+    table: HostTable = field(init=False)
+    plan: MonitorPlan = field(init=False)
+    detector: FailureDetector = field(default_factory=FailureDetector)
+    _pingers: dict[str, float] = field(default_factory=dict)
+    _probes: dict[str, dict[str, float]] = field(default_factory=dict)
+    _behind_since_s: float | None = None
+
+    def __post_init__(self) -> None:
+        self.table = HostTable(host=self.host)
+        self.plan = MonitorPlan(host=self.host)
+
+    def tick(self, *, now_s: float) -> list[PeerAction]:
+        """Return the messages of one heartbeat interval."""
+        self._follow_config(now_s)
+        actions: list[PeerAction] = []
+        for item in self.detector.advance(now_s=now_s):
+            match item:
+                case Reconnect(host=host):
+                    actions.append(Renew(host=host))
+                case AskOthers(host=host):
+                    actions.extend(self._ask_others(host))
+                case Suspect(host=host):
+                    self.table.suspect(host)
+        actions.extend(
+            Send(host=target, message=self._heartbeat(target, wants_reply=True))
+            for target in self.detector.watches
+        )
+        return actions
+
+    def _follow_config(self, now_s: float) -> None:
+        """Choose the hosts to watch from the configuration in force."""
+        hosts = self.replica.state.fleet.hosts
+        self.plan.set_hosts(hosts)
+        self.table.keep_only(hosts)
+        in_service = self.table.live() - self.replica.state.withdrawn
+        targets = self.plan.targets(in_service | {self.host})
+        self.detector.set_targets(targets, now_s=now_s)
+        self._pingers = {
+            name: at_s
+            for name, at_s in self._pingers.items()
+            if now_s - at_s < _NEIGHBOUR_MEMORY_S
+        }
+        self.table.set_neighbours({*targets, *self._pingers})
+
+    def spread(self) -> list[PeerAction]:
+        """Return heartbeats that carry an urgent change to every neighbour."""
+        return [
+            Send(host=name, message=self._heartbeat(name, wants_reply=False))
+            for name in {**self.detector.watches, **self._pingers}
+        ]
+
+    def hand_on(
+        self, records: Sequence[StoredRecord], *, source: str = ""
+    ) -> list[PeerAction]:
+        """Return messages that hand new records to every neighbour but one.
+
+        Large ones are not handed on unasked, since most peers read the log.
+        """
+        if sum(len(record.data) for record in records) > _HAND_ON_BYTES:
+            return []
+        if not records:
+            return []
+        message = PeerRecords(records=list(records))
+        return [
+            Send(host=name, message=message)
+            for name in {**self.detector.watches, **self._pingers}
+            if name != source
+        ]
+
+    def handle(
+        self, source: str, message: PeerMessage, *, now_s: float
+    ) -> list[PeerAction]:
+        """Take a message of a peer and return what to send.
+
+        :param source: name of the peer, empty when not known yet.
+        """
+        match message:
+            case PeerHeartbeat():
+                return self._handle_heartbeat(message, now_s)
+            case ProbeRequest(host=host, target=target):
+                self._probes.setdefault(target, {})[host] = now_s
+                heartbeat = self._heartbeat(target, wants_reply=True)
+                return [Send(host=target, message=heartbeat)]
+            case ProbeReply(target=target):
+                self.detector.note_alive(target, now_s=now_s)
+                return []
+            case RecordsWanted(host=host, from_offset=offset):
+                return self._answer_wanted(host, offset)
+            case PeerRecords(records=records):
+                fresh = self.replica.apply(records)
+                self._behind_since_s = None
+                return self.hand_on(fresh, source=source)
+            case PeerState(state=state):
+                self.replica.adopt(state)
+                return []
+
+    def _handle_heartbeat(
+        self, message: PeerHeartbeat, now_s: float
+    ) -> list[PeerAction]:
+        source = message.host
+        self.detector.note_alive(source, now_s=now_s)
+        urgent = False
+        for change in message.changes:
+            urgent |= self.table.merge(unpack_status(change), source=source)
+        actions: list[PeerAction] = []
+        if message.wants_reply:
+            self._pingers[source] = now_s
+            self.table.add_neighbour(source)
+            reply = self._heartbeat(source, wants_reply=False)
+            actions.append(Send(host=source, message=reply))
+        if urgent:
+            actions.extend(self.spread())
+        actions.extend(self._ask_records(source, message.next_offset, now_s))
+        for asker, at_s in self._probes.pop(source, {}).items():
+            if now_s - at_s < _PROBE_MEMORY_S:
+                actions.append(Send(host=asker, message=ProbeReply(target=source)))
+        return actions
+
+    def _ask_records(
+        self, source: str, next_offset: int, now_s: float
+    ) -> list[PeerAction]:
+        """Ask a peer for what has been missing here for a while."""
+        own_offset = self.replica.state.next_offset
+        if next_offset <= own_offset:
+            return []
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        if own_offset > 0 and now_s - self._behind_since_s < _ASK_AFTER_S:
+            return []
+        self._behind_since_s = now_s
+        wanted = RecordsWanted(host=self.host, from_offset=own_offset)
+        return [Send(host=source, message=wanted)]
+
+    def _answer_wanted(self, host: str, offset: int) -> list[PeerAction]:
+        state = self.replica.state
+        if offset >= state.next_offset or state.halted:
+            return []
+        records = self.replica.records_from(offset)
+        if records is None:
+            return [Send(host=host, message=PeerState(state=state))]
+        return [Send(host=host, message=PeerRecords(records=records))]
+
+    def _ask_others(self, target: str) -> list[PeerAction]:
+        request = ProbeRequest(host=self.host, target=target)
+        helpers = self.plan.other_monitors(target, self.table.live())
+        return [Send(host=name, message=request) for name in helpers]
+
+    def _heartbeat(self, neighbour: str, *, wants_reply: bool) -> PeerHeartbeat:
+        changes = self.table.take_changes(neighbour)
+        return PeerHeartbeat(
+            host=self.host,
+            next_offset=self.replica.state.next_offset,
+            changes=[pack_status(status) for status in changes],
+            wants_reply=wants_reply,
+        )
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -5,15 +5,20 @@
 
 import aiohttp
 
-from lacewinglug.authority.replay import ControlState
+from lacewinglug.authority.state import ControlState
 from lacewinglug.clock import Clock
-from lacewinglug.membership.neighbours import HostTable
+from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.hosts import HttpHostListClient
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
+from lacewinglug.steward.hosts import HostListWatcher
+from lacewinglug.steward.peers import PeerExchange
 from lacewinglug.steward.poller import RunnerPoller
+from lacewinglug.steward.replica import Replica
 from lacewinglug.steward.server import ControlServer
 from lacewinglug.steward.tail import LogTail
+from lacewinglug.steward.upkeep import SnapshotKeeper
 from lacewinglug.upstream.client import RunnerClient
 
 logger = logging.getLogger(__name__)
@@ -29,8 +34,11 @@
     :param clock: source of time.
     :param metrics: counters.
     """
+    host = settings.host.name
     state = ControlState()
+    replica = Replica(state=state)
     async with aiohttp.ClientSession() as session:
+        log = HttpLogClient(session=session, base_url=settings.platform.log_url)
         poller = RunnerPoller(
             client=RunnerClient(session=session),
             state=state,
@@ -38,26 +46,50 @@
             interval_s=settings.steward.poll_interval_s,
             metrics=metrics,
         )
+        exchange = PeerExchange(host=host, replica=replica)
+        watcher = HostListWatcher(
+            host=host,
+            client=HttpHostListClient(
+                session=session, base_url=settings.platform.host_list_url
+            ),
+            live_hosts=exchange.table.live,
+            clock=clock,
+            metrics=metrics,
+        )
         server = ControlServer(
-            host=settings.host.name,
-            incarnation=incarnation,
+            host=host,
             endpoint=f"tcp://{settings.host.address}:{settings.steward.control_port}",
-            state=state,
+            exchange=exchange,
             poller=poller,
-            table=HostTable(),
+            listed_leaving=lambda: watcher.leaving,
             clock=clock,
             metrics=metrics,
         )
+        replica.listeners.append(server.notify_config)
         tail = LogTail(
-            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
-            state=state,
+            log=log,
+            replica=replica,
             clock=clock,
             wait_s=settings.steward.log_wait_s,
-            on_change=server.notify_config,
+            on_records=server.hand_on,
+            metrics=metrics,
+        )
+        keeper = SnapshotKeeper(
+            host=host,
+            incarnation=incarnation,
+            machine=settings.host.machine_name,
+            state=state,
+            log=log,
+            live_hosts=server.live_hosts,
+            interval_s=settings.steward.snapshot_interval_s,
+            clock=clock,
             metrics=metrics,
+            ids=IdFactory(host=f"{host}-upkeep", incarnation=incarnation),
         )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
             group.create_task(tail.run())
             group.create_task(poller.run())
             group.create_task(server.run())
+            group.create_task(watcher.run())
+            group.create_task(keeper.run())
--- /dev/null
+++ b/lacewinglug/steward/upkeep.py
@@ -0,0 +1,125 @@
+"""Appends snapshots to the control stream before its records expire."""
+
+import logging
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from lacewinglug.authority.records import SnapshotTaken, TenureClaimed, encode_record
+from lacewinglug.authority.state import NO_TENURE, ControlState
+from lacewinglug.clock import Clock
+from lacewinglug.errors import LogUnavailableError
+from lacewinglug.ids import IdFactory
+from lacewinglug.membership.neighbours import rank_hosts
+from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import CONTROL_STREAM, LogClient
+
+UPKEEP_DOMAIN = "upkeep"
+SNAPSHOT_RECORDS = 2048
+STEP_INTERVAL_S = 2.0
+APPEND_INTERVAL_S = 10.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True)
+class SnapshotKeeper:
+    """Takes snapshots while this process holds the upkeep tenure.
+
+    Two holders would do no harm: a snapshot only repeats what the records
+    before it mean.
+
+    :param host: name of this host.
+    :param incarnation: run of this process.
+    :param machine: machine that carries the host's name.
+    :param state: the replayed state.
+    :param log: client of the log.
+    :param live_hosts: returns the hosts that are live.
+    :param interval_s: longest time between two snapshots, in seconds.
+    :param clock: source of time.
+    :param metrics: counters.
+    :param ids: makes record ids.
+    """
+
+    host: str
+    incarnation: str
+    machine: str
+    state: ControlState
+    log: LogClient
+    live_hosts: Callable[[], Collection[str]]
+    interval_s: float
+    clock: Clock
+    metrics: Metrics
+    ids: IdFactory
+    _seen_offset: int = -1
+    _seen_at_s: float = float("-inf")
+    _append_after_s: float = float("-inf")
+
+    async def run(self) -> None:
+        """Claim, and take snapshots, until cancelled."""
+        while True:
+            await self.step()
+            await self.clock.sleep(STEP_INTERVAL_S)
+
+    async def step(self) -> None:
+        """Append a claim or a snapshot if one is due."""
+        if self.state.halted or self.state.next_offset == 0:
+            return
+        if self.clock.now_s() < self._append_after_s:
+            return
+        tenure = self.state.tenures.get(UPKEEP_DOMAIN)
+        if tenure is not None and self._holds_tenure():
+            if self._is_due():
+                await self._append_snapshot()
+        elif self._may_claim():
+            await self._append(
+                TenureClaimed(
+                    record_id=self.ids.make(),
+                    as_of=self.state.next_offset,
+                    domain=UPKEEP_DOMAIN,
+                    host=self.host,
+                    incarnation=self.incarnation,
+                    supersedes=NO_TENURE if tenure is None else tenure.offset,
+                    machine=self.machine,
+                )
+            )
+
+    def _holds_tenure(self) -> bool:
+        tenure = self.state.tenures[UPKEEP_DOMAIN]
+        return (tenure.host, tenure.incarnation) == (self.host, self.incarnation)
+
+    def _may_claim(self) -> bool:
+        """Return whether the holder is gone and this host is next."""
+        tenure = self.state.tenures.get(UPKEEP_DOMAIN)
+        live = set(self.live_hosts()) - self.state.withdrawn - self.state.draining
+        if tenure is not None and tenure.host == self.host:
+            return True
+        if tenure is not None and tenure.host in live:
+            return False
+        return rank_hosts(UPKEEP_DOMAIN, live)[:1] == [self.host]
+
+    def _is_due(self) -> bool:
+        """Return whether the last snapshot is old by records or by time."""
+        now_s = self.clock.now_s()
+        if self.state.snapshot_offset != self._seen_offset:
+            self._seen_offset = self.state.snapshot_offset
+            self._seen_at_s = now_s
+        if self.state.next_offset - self.state.snapshot_offset > SNAPSHOT_RECORDS:
+            return True
+        return now_s - self._seen_at_s >= self.interval_s
+
+    async def _append_snapshot(self) -> None:
+        snapshot = SnapshotTaken(
+            record_id=self.ids.make(), as_of=self.state.next_offset, state=self.state
+        )
+        if await self._append(snapshot):
+            self.metrics.count("upkeep.snapshots")
+
+    async def _append(self, record: SnapshotTaken | TenureClaimed) -> bool:
+        """Append a record; the replay settles what became of it."""
+        self._append_after_s = self.clock.now_s() + APPEND_INTERVAL_S
+        try:
+            await self.log.append(CONTROL_STREAM, encode_record(record))
+        except LogUnavailableError:
+            self.metrics.count("upkeep.append_failures")
+            return False
+        return True
--- a/lacewinglug/ui/publish.py
+++ b/lacewinglug/ui/publish.py
@@ -5,6 +5,7 @@
 
 import click
 
+from lacewinglug.authority.state import Publication
 from lacewinglug.config.changes import FleetChange, diff_fleets
 from lacewinglug.config.objects import Fleet
 from lacewinglug.config.publishing import PublishResult, publish_fleet, read_state
@@ -77,26 +78,52 @@
 
 def _report(result: PublishResult, as_json: bool) -> None:
     """Print the verdict, or raise it as an error."""
-    publication = result.publication
     if result.unchanged:
         if not as_json:
             click.echo("nothing to publish: no object differs")
         return
+    publication = result.publication
     if publication is None:
         raise UserError(
-            f"outcome unknown; run publish again with --publish-id {result.record_id}",
+            "outcome unknown; run publish again with "
+            f"--publish-id {result.record_id} --base {result.base_revision}",
             exit_code=EXIT_UNAVAILABLE,
         )
     if not publication.accepted:
+        raise UserError(_describe_refusal(publication), exit_code=EXIT_REFUSED)
+    if result.differs:
         raise UserError(
-            f"refused: revision {publication.revision} by {publication.publisher!r} "
-            "came first; run diff, then publish again on top of it",
+            f"{result.record_id} was accepted as revision {publication.revision} "
+            "with another configuration; run diff, then publish with a new id",
             exit_code=EXIT_REFUSED,
         )
     if not as_json:
         click.echo(f"accepted as revision {publication.revision}")
 
 
+def _describe_refusal(publication: Publication) -> str:
+    """Return why a publication was refused and what to do."""
+    match publication.refusal:
+        case "raced":
+            return (
+                f"refused: revision {publication.revision} by "
+                f"{publication.publisher!r} came first; run diff, then publish "
+                "again on top of it"
+            )
+        case "unknown_base":
+            return (
+                f"refused: the newest revision is {publication.revision}; publish "
+                "again with --base of a revision that exists"
+            )
+        case "digest":
+            return (
+                "refused: the change does not give the checked configuration; "
+                f"publish again on top of revision {publication.revision}"
+            )
+        case _:
+            return "refused: the record reached the log too late; publish again"
+
+
 def _describe_change(change: FleetChange) -> list[str]:
     """Return one line for each object that changes."""
     lines = []
