--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -79,12 +79,21 @@
     :param log_wait_s: longest wait of one read of the log's tail, in seconds.
     :param snapshot_interval_s: longest time between two snapshots of the control
         stream, in seconds; a third of the time that the log keeps records.
+    :param claim_delay_s: time after the start before tenures are claimed, in
+        seconds.
+    :param drain_deadline_s: longest time that an engine is drained for a change
+        before the change is put off, in seconds.
+    :param order_settle_s: wait before the first order to an engine that ignores
+        fencing numbers, and after one whose answer was lost, in seconds.
     """
 
     control_port: Port
     poll_interval_s: PositiveSeconds
     log_wait_s: PositiveSeconds
     snapshot_interval_s: PositiveSeconds
+    claim_delay_s: PositiveSeconds
+    drain_deadline_s: PositiveSeconds
+    order_settle_s: PositiveSeconds
 
 
 class LoggingSettings(_Section):
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 import aiohttp
 
@@ -13,6 +14,8 @@
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
 from lacewinglug.steward.hosts import HostListWatcher
+from lacewinglug.steward.known_hosts import KnownHosts
+from lacewinglug.steward.order_setup import make_order_manager
 from lacewinglug.steward.peers import PeerExchange
 from lacewinglug.steward.poller import RunnerPoller
 from lacewinglug.steward.replica import Replica
@@ -20,6 +23,7 @@
 from lacewinglug.steward.tail import LogTail
 from lacewinglug.steward.upkeep import SnapshotKeeper
 from lacewinglug.upstream.client import RunnerClient
+from lacewinglug.upstream.orders import make_order_session
 
 logger = logging.getLogger(__name__)
 
@@ -37,7 +41,10 @@
     host = settings.host.name
     state = ControlState()
     replica = Replica(state=state)
-    async with aiohttp.ClientSession() as session:
+    async with (
+        aiohttp.ClientSession() as session,
+        make_order_session() as order_session,
+    ):
         log = HttpLogClient(session=session, base_url=settings.platform.log_url)
         poller = RunnerPoller(
             client=RunnerClient(session=session),
@@ -47,11 +54,12 @@
             metrics=metrics,
         )
         exchange = PeerExchange(host=host, replica=replica)
+        host_list = HttpHostListClient(
+            session=session, base_url=settings.platform.host_list_url
+        )
         watcher = HostListWatcher(
             host=host,
-            client=HttpHostListClient(
-                session=session, base_url=settings.platform.host_list_url
-            ),
+            client=host_list,
             live_hosts=exchange.table.live,
             clock=clock,
             metrics=metrics,
@@ -86,10 +94,33 @@
             metrics=metrics,
             ids=IdFactory(host=f"{host}-upkeep", incarnation=incarnation),
         )
+        known_hosts = KnownHosts(
+            host=host,
+            state=state,
+            live_hosts=server.live_hosts,
+            client=host_list,
+            clock=clock,
+            metrics=metrics,
+        )
+        manager = make_order_manager(
+            settings=settings,
+            incarnation=incarnation,
+            state=state,
+            log=log,
+            known_hosts=known_hosts.knowledge,
+            reports=poller.latest,
+            clock=clock,
+            metrics=metrics,
+            order_session=order_session,
+            rng=random.Random(incarnation),
+        )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
             group.create_task(tail.run())
             group.create_task(poller.run())
             group.create_task(server.run())
             group.create_task(watcher.run())
+            group.create_task(known_hosts.run())
+            await server.bound.wait()
             group.create_task(keeper.run())
+            group.create_task(manager.run())
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -57,6 +57,8 @@
     :param listed_leaving: returns the names that the host list says are leaving.
     :param clock: source of time.
     :param metrics: counters.
+    :param bound: set once the control port is bound, so that no other process of
+        this host holds it.
     """
 
     host: str
@@ -66,6 +68,7 @@
     listed_leaving: Callable[[], frozenset[str]]
     clock: Clock
     metrics: Metrics
+    bound: asyncio.Event = field(default_factory=asyncio.Event)
     lives: HostLives = field(default_factory=HostLives)
     _sockets: PeerSockets = field(init=False)
     _router: zmq.asyncio.Socket | None = None
@@ -105,6 +108,7 @@
         router = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
         router.linger = 0
         router.bind(self.endpoint)
+        self.bound.set()
         self._router = router
         try:
             async with asyncio.TaskGroup() as group:
