--- a/lacewinglug/charts/__init__.py
+++ b/lacewinglug/charts/__init__.py
@@ -12,7 +12,7 @@
 
 from transitions import Machine, MachineError
 
-CHART_NAMES = ("tenure", "engine_change")
+CHART_NAMES = ("tenure", "engine_change", "host")
 ANY_STATE = "*"
 
 
