Report service-level burn from windows in the log

Each entry appends one record a minute with good and bad answers by objective and origin. Windows carry host, incarnation and minute, so copies and late records change nothing; hourly folds name the windows that they hold. Ruled out: running totals, which a restarted entry would reset.

--- a/lacewinglug/entry/calls.py
+++ b/lacewinglug/entry/calls.py
@@ -7,12 +7,13 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from lacewinglug.entry.intake import ANSWERED, Intake
+from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.responses import (
     failure_response,
     message_response,
     unknown_kind,
 )
+from lacewinglug.report.recorder import ANSWERED
 from lacewinglug.requests.calls import Call, CallRunner
 from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.outcomes import outcome_name
--- a/lacewinglug/entry/intake.py
+++ b/lacewinglug/entry/intake.py
@@ -15,7 +15,6 @@
 CALLER_HEADER = "X-Caller"
 REGION_HEADER = "X-Region"
 REQUEST_ID_HEADER = "X-Request-Id"
-ANSWERED = "answered"
 
 
 @dataclass(kw_only=True)
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -10,6 +10,7 @@
 from lacewinglug.clock import Clock
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
+from lacewinglug.entry.burn import BurnReporter
 from lacewinglug.entry.calls import CallHandler
 from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.intake import Intake
@@ -18,6 +19,7 @@
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
 from lacewinglug.requests.calls import CallRunner
 from lacewinglug.requests.keys import KeyLedger
@@ -47,14 +49,25 @@
             metrics=metrics,
             session=session,
         )
+        reporter = BurnReporter(
+            host=settings.host.name,
+            incarnation=incarnation,
+            recorder=app.intake.recorder,
+            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
+            clock=clock,
+            metrics=metrics,
+        )
+        report_task = asyncio.create_task(reporter.run())
         link_task = asyncio.create_task(_make_link(app, incarnation).run())
         logger.info("entry started", extra={"port": settings.entry.port})
         try:
             await _serve(app)
         finally:
-            link_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await link_task
+            for task in (link_task, report_task):
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+            await reporter.flush()
     logger.info("entry stopped")
 
 
@@ -72,9 +85,8 @@
     ledger = KeyLedger(ids=ids)
     client = RunnerClient(session=session)
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
-    intake = Intake(
-        view=view, ids=ids, recorder=OutcomeRecorder(), clock=clock, metrics=metrics
-    )
+    recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
+    intake = Intake(view=view, ids=ids, recorder=recorder, clock=clock, metrics=metrics)
     relay = PromptRelay(dispatcher=dispatcher, client=client, metrics=metrics)
     calls = CallRunner(
         dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
--- a/lacewinglug/entry/prompts.py
+++ b/lacewinglug/entry/prompts.py
@@ -7,8 +7,9 @@
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
 
-from lacewinglug.entry.intake import ANSWERED, REQUEST_ID_HEADER, Intake
+from lacewinglug.entry.intake import REQUEST_ID_HEADER, Intake
 from lacewinglug.entry.responses import bad_request, failure_response, unknown_kind
+from lacewinglug.report.recorder import ANSWERED
 from lacewinglug.requests.outcomes import (
     FailedWhileRunning,
     NotRun,
--- /dev/null
+++ b/lacewinglug/steward/burn_fold.py
@@ -0,0 +1,62 @@
+"""Folds the burn stream, so that a report reads one record for each hour."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lacewinglug.clock import Clock
+from lacewinglug.errors import LogUnavailableError
+from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import LogClient
+from lacewinglug.report.ledger import BurnLedger
+from lacewinglug.report.reading import BurnReader
+from lacewinglug.report.windows import BURN_STREAM, FOLD_S, encode_burn_record
+
+FOLD_INTERVAL_S = 600.0
+KEPT_HOURS = 2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True)
+class BurnFolder:
+    """Owns the windows of the last hours and appends their folds.
+
+    Folds by two processes are harmless: each names the windows that it holds.
+
+    :param log: client of the log.
+    :param is_holder: returns whether this process holds the upkeep tenure.
+    :param clock: source of time.
+    :param metrics: counters.
+    """
+
+    log: LogClient
+    is_holder: Callable[[], bool]
+    clock: Clock
+    metrics: Metrics
+    _ledger: BurnLedger = field(default_factory=BurnLedger)
+
+    async def run(self) -> None:
+        """Fold hours that are over until cancelled."""
+        reader = BurnReader(log=self.log, ledger=self._ledger)
+        while True:
+            await self.clock.sleep(FOLD_INTERVAL_S)
+            if not self.is_holder():
+                continue
+            try:
+                await self.fold_once(reader)
+            except LogUnavailableError:
+                self.metrics.count("burn.fold_failures")
+
+    async def fold_once(self, reader: BurnReader) -> None:
+        """Append a fold of each hour that is over and not folded whole."""
+        await reader.catch_up()
+        hour_now = int(self.clock.wall_s()) // FOLD_S
+        for hour in self._ledger.hours_to_fold(before_hour=hour_now):
+            fold = self._ledger.make_fold(hour, through_offset=reader.next_offset)
+            if fold is None:
+                continue
+            await self.log.append(BURN_STREAM, encode_burn_record(fold))
+            self._ledger.apply(fold)
+            self.metrics.count("burn.folds")
+        self._ledger.forget_before(hour_now - KEPT_HOURS)
--- a/lacewinglug/ui/__init__.py
+++ b/lacewinglug/ui/__init__.py
@@ -9,6 +9,7 @@
 from lacewinglug.ui.drain import drain, replace, withdraw
 from lacewinglug.ui.load import load
 from lacewinglug.ui.publish import diff, publish
+from lacewinglug.ui.report import report
 from lacewinglug.ui.status import status
 
 
@@ -27,6 +28,7 @@
     replace,
     withdraw,
     load,
+    report,
     completion,
 ):
     main.add_command(command)
