Import commands when they are used

The steward program imported every command, and with them starlette, since its module lies in the package of the command line.

--- a/lacewinglug/ui/check.py
+++ b/lacewinglug/ui/check.py
@@ -7,7 +7,8 @@
 
 from lacewinglug.config.loading import load_config
 from lacewinglug.config.objects import Fleet
-from lacewinglug.ui.common import EXIT_USER_ERROR, echo_json, json_option
+from lacewinglug.ui.common import echo_json, json_option
+from lacewinglug.ui.errors import EXIT_USER_ERROR
 
 
 @click.command(epilog="Example: lacewinglug check examples/volt-trottoir")
--- a/lacewinglug/ui/common.py
+++ b/lacewinglug/ui/common.py
@@ -3,7 +3,6 @@
 import asyncio
 import getpass
 import os
-import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any, TypeVar
@@ -14,30 +13,11 @@
 
 from lacewinglug.config.loading import load_config
 from lacewinglug.config.objects import Fleet
-from lacewinglug.errors import PlatformError, UserError
+from lacewinglug.errors import UserError
 from lacewinglug.platform.log import HttpLogClient, LogClient
 
 ResultT = TypeVar("ResultT")
 
-EXIT_USER_ERROR = 2
-EXIT_REFUSED = 3
-EXIT_UNAVAILABLE = 4
-
-
-class UserErrorGroup(click.Group):
-    """A command group that prints user errors as lines, without a traceback."""
-
-    def invoke(self, ctx: click.Context) -> Any:
-        """Run the command, turning errors into an exit code."""
-        try:
-            return super().invoke(ctx)
-        except UserError as error:
-            click.echo(f"lacewinglug: {error}", err=True)
-            sys.exit(error.exit_code)
-        except PlatformError as error:
-            click.echo(f"lacewinglug: {error}", err=True)
-            sys.exit(EXIT_UNAVAILABLE)
-
 
 log_option = click.option(
     "--log-url",
--- a/lacewinglug/ui/load.py
+++ b/lacewinglug/ui/load.py
@@ -13,13 +13,8 @@
 from lacewinglug.load.driver import LoadDriver
 from lacewinglug.load.plan import LoadPlan, plan_arrivals, read_plan
 from lacewinglug.load.summary import LoadSummary, format_table, summarise
-from lacewinglug.ui.common import (
-    EXIT_UNAVAILABLE,
-    echo_json,
-    entry_option,
-    json_option,
-    run_async,
-)
+from lacewinglug.ui.common import echo_json, entry_option, json_option, run_async
+from lacewinglug.ui.errors import EXIT_UNAVAILABLE
 
 
 @click.command(epilog="Example: lacewinglug load examples/load/mix-shift.toml --seed 1")
--- a/lacewinglug/ui/publish.py
+++ b/lacewinglug/ui/publish.py
@@ -12,8 +12,6 @@
 from lacewinglug.ids import IdFactory, make_incarnation
 from lacewinglug.platform.log import LogClient
 from lacewinglug.ui.common import (
-    EXIT_REFUSED,
-    EXIT_UNAVAILABLE,
     echo_json,
     json_option,
     log_option,
@@ -21,6 +19,7 @@
     read_config,
     run_with_log,
 )
+from lacewinglug.ui.errors import EXIT_REFUSED, EXIT_UNAVAILABLE
 
 folder_argument = click.argument("folder", type=click.Path(exists=True, path_type=Path))
 
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -6,13 +6,8 @@
 
 from lacewinglug.entry.app import StatusReply
 from lacewinglug.errors import UserError
-from lacewinglug.ui.common import (
-    EXIT_UNAVAILABLE,
-    echo_json,
-    entry_option,
-    json_option,
-    run_async,
-)
+from lacewinglug.ui.common import echo_json, entry_option, json_option, run_async
+from lacewinglug.ui.errors import EXIT_UNAVAILABLE
 
 _TIMEOUT_S = 5.0
 
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -1,7 +1,10 @@
 """Tests of the command line."""
 
+import subprocess
+import sys
 from pathlib import Path
 
+import click
 import pytest
 from click.testing import CliRunner
 
@@ -16,21 +19,31 @@
 
 
 def iter_commands(group, path=()):
-    for name, command in group.commands.items():
-        yield (*path, name), command
-        if hasattr(command, "commands"):
+    context = click.Context(group)
+    for name in group.list_commands(context):
+        command = group.get_command(context, name)
+        yield (*path, name)
+        if isinstance(command, click.Group):
             yield from iter_commands(command, (*path, name))
 
 
-@pytest.mark.parametrize(
-    "path", [path for path, _ in iter_commands(main)], ids=" ".join
-)
+@pytest.mark.parametrize("path", list(iter_commands(main)), ids=" ".join)
 def test_help_has_an_example(path):
     result = run(*path, "--help")
     assert result.exit_code == 0
     assert "Example: lacewinglug" in result.output
 
 
+def test_steward_imports_no_web_framework():
+    code = "import lacewinglug.ui.steward, sys; print(*sys.modules)"
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    loaded = set(done.stdout.split())
+    assert "aiohttp" in loaded
+    assert not loaded & {"starlette", "uvicorn", "matplotlib"}
+
+
 def test_check_of_broken_configuration_ends_with_2(tmp_path):
     (tmp_path / "a.toml").write_text("[regions.mtl]\n")
     result = run("check", str(tmp_path))
