--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes measured on one machine, and what they say of the aimed size."""
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 
 from bench.figures import Figure, Target
+from bench.procfs import resident_mb
 from harness.deployment import Deployment
 
 STEWARD_MEMORY_TARGET_MB = 64.0
 _SETTLE_S = 3.0
-_KB_PER_MB = 1024.0
 
 
 def run() -> list[Figure]:
@@ -34,7 +34,7 @@
             scenario="memory",
             name="resident_mb",
             subject=f"{program}_{state}",
-            value=_resident_mb(deployment.processes[f"entry-1.{program}"].pid),
+            value=resident_mb(deployment.processes[f"entry-1.{program}"].pid),
             target=(
                 Target(limit=STEWARD_MEMORY_TARGET_MB, direction="at_most")
                 if program == "steward"
@@ -44,11 +44,3 @@
         )
         for program in ("steward", "entry")
     ]
-
-
-def _resident_mb(pid: int) -> float:
-    """Return the resident memory of a process, in megabytes."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return float(line.split()[1]) / _KB_PER_MB
-    raise RuntimeError(f"no resident memory of process {pid}")
