Bound streams, move them between engines and shut entries down gracefully

An engine's 503 counts as not run.

The entry owns its signals: it leaves the entry addresses, serves out their time to live, refuses new work with other addresses, finishes what runs and exits 0.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -13,7 +13,7 @@
 
 from harness.deployment import Deployment, DeploymentError
 from lacewinglug.caller import AnswerFailedError, CallerClient
-from lacewinglug.requests.prompts import PromptBody
+from lacewinglug.requests.answers import PromptBody
 
 HOSTS = ["entry-1", "entry-2"]
 RUNNERS = ["assistant-1", "assistant-2", "locker-app-1"]
--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -37,10 +37,12 @@
 
     :param example: name of the folder below ``examples``.
     :param folder: empty folder for configuration, settings and logs.
+    :param entry_settings: fields of the entry's settings, as TOML lines.
     """
 
     example: str
     folder: Path
+    entry_settings: str = "address_ttl_s = 0.3\nleave_notice_s = 0.2\n"
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -130,7 +132,7 @@
             f'[platform]\nlog_url = "{self.platform_url}"\n'
             f'host_list_url = "{self.platform_url}"\n'
             f'weight_store_url = "{self.platform_url}"\n\n'
-            f"[entry]\nport = {item.entry_port}\n\n"
+            f"[entry]\nport = {item.entry_port}\n{self.entry_settings}\n"
             f"[steward]\ncontrol_port = {item.control_port}\n"
         )
         return path
--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -10,12 +10,17 @@
 from lacewinglug.entry.calls import KeyReply
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER
 from lacewinglug.membership.addresses import EntryAddresses
+from lacewinglug.requests.answers import (
+    AnswerEnd,
+    AnswerHeartbeat,
+    AnswerToken,
+    PromptBody,
+)
 from lacewinglug.requests.outcomes import FailureBody
-from lacewinglug.requests.prompts import AnswerEnd, AnswerToken, PromptBody
 from lacewinglug.upstream.client import KEY_HEADER
 from lacewinglug.upstream.messages import CallReply
 
-_part_decoder = msgspec.json.Decoder(AnswerToken | AnswerEnd)
+_part_decoder = msgspec.json.Decoder(AnswerToken | AnswerHeartbeat | AnswerEnd)
 
 
 class AnswerFailedError(Exception):
--- /dev/null
+++ b/lacewinglug/entry/connection.py
@@ -0,0 +1,124 @@
+"""Connections of callers: silence bounds, header timeout and typed errors."""
+
+import asyncio
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import msgspec
+from uvicorn.protocols.http.flow_control import FlowControl
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from lacewinglug.connections import bound_silence
+from lacewinglug.entry.responses import bad_request
+from lacewinglug.requests.outcomes import NotRun, failure_body
+
+MAX_HEADER_BYTES = 32768
+HEADER_TIMEOUT_S = 10.0
+UNREAD_TIMEOUT_S = 30
+LINGER_S = 10.0
+SEND_BUFFER_BYTES = 65536
+WRITE_BUFFER_BYTES = 32768
+CONNECTION_KEY = "connection"
+
+
+@dataclass(kw_only=True)
+class CallerConnection:
+    """The connection that a request came on.
+
+    :param transport: the transport.
+    :param flow: its flow control.
+    """
+
+    transport: asyncio.Transport
+    flow: FlowControl
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the caller does not read what was sent."""
+        return self.flow.write_paused
+
+    def unblock(self) -> None:
+        """Take one more line over the full buffer."""
+        self.flow.resume_writing()
+
+    def close(self) -> None:
+        """Close after what was sent, or abort when the caller does not read it."""
+        self.transport.close()
+        asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+
+
+class CallerProtocol(H11Protocol):
+    """HTTP/1.1 protocol that bounds silence and slow headers."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Set the bounds of a new connection."""
+        super().connection_made(transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            bound_silence(connection, unacknowledged_s=UNREAD_TIMEOUT_S)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.app_state: dict[str, Any] = {
+            **self.app_state,
+            CONNECTION_KEY: CallerConnection(transport=transport, flow=self.flow),
+        }
+        self._header_timer: asyncio.TimerHandle | None = None
+        self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; while they are part of headers the timer runs."""
+        super().data_received(data)
+        if self.conn.their_state is not h11.IDLE:
+            self._stop_header_timer()
+        elif self._header_timer is None:
+            self._start_header_timer()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are not HTTP, or headers that are too large."""
+        reason = f"it is not HTTP/1.1, or its headers are over {MAX_HEADER_BYTES} bytes"
+        self._send_refusal(bad_request(reason))
+
+    def _send_refusal(self, refusal: NotRun) -> None:
+        """Answer on the connection itself, before there is a request."""
+        body = msgspec.json.encode(failure_body(refusal))
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        events = (
+            h11.Response(status_code=refusal.status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            for event in events:
+                self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
+
+    def _refuse_slow_headers(self) -> None:
+        refusal = NotRun(
+            reason="the request's headers did not arrive in time",
+            remedy="send the whole request at once",
+            status=408,
+        )
+        self._send_refusal(refusal)
+
+    def _start_header_timer(self) -> None:
+        self._header_timer = self.loop.call_later(
+            HEADER_TIMEOUT_S, self._refuse_slow_headers
+        )
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
--- /dev/null
+++ b/lacewinglug/entry/gate.py
@@ -0,0 +1,196 @@
+"""Limits that every request passes before its handler sees it."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+from lacewinglug.entry.intake import CALLER_HEADER, Intake
+from lacewinglug.entry.responses import failure_response
+from lacewinglug.ids import MintedId
+from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown
+from lacewinglug.settings import EntrySettings
+from lacewinglug.upstream.client import KEY_HEADER
+
+_CALLER = CALLER_HEADER.lower().encode()
+_KEY = KEY_HEADER.lower().encode()
+_LENGTH = b"content-length"
+ADDRESSES_HEADER = "X-Entry-Addresses"
+
+
+class RefusedError(Exception):
+    """A request broke a limit while it arrived.
+
+    :param refusal: what to tell the caller.
+    """
+
+    def __init__(self, refusal: NotRun) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+@dataclass(kw_only=True)
+class Gate:
+    """Owns the count of requests in progress and refuses what is over a limit.
+
+    :param app: the application behind the gate.
+    :param intake: what the handlers share.
+    :param settings: the limits.
+    :param refusing: whether new work is refused since the host shuts down.
+    :param addresses: entry addresses to use instead.
+    """
+
+    app: ASGIApp
+    intake: Intake
+    settings: EntrySettings
+    refusing: bool = False
+    addresses: list[str] = field(default_factory=list)
+    _active: Counter[str] = field(default_factory=Counter)
+    _tasks: "dict[asyncio.Task[None], bool]" = field(default_factory=dict)
+
+    @property
+    def active(self) -> int:
+        """Requests in progress that are work."""
+        return len(self._tasks)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass a request on, or refuse it."""
+        if scope["type"] != "http" or scope["method"] == "GET":
+            await self.app(scope, receive, send)
+            return
+        headers = dict(scope["headers"])
+        organisation = headers.get(_CALLER, b"").decode("latin-1")
+        refusal = self._find_refusal(headers, organisation)
+        if refusal is not None:
+            await self._refuse(refusal, scope, receive, send)
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks[task] = False
+        self._active[organisation] += 1
+        try:
+            await self._pass(scope, receive, send, task)
+        finally:
+            del self._tasks[task]
+            self._active[organisation] -= 1
+            if not self._active[organisation]:
+                del self._active[organisation]
+
+    def end_all(self) -> None:
+        """End every request in progress with a typed failure."""
+        for task in self._tasks:
+            self._tasks[task] = True
+            task.cancel()
+
+    async def _pass(
+        self, scope: Scope, receive: Receive, send: Send, task: "asyncio.Task[None]"
+    ) -> None:
+        body = _BodyReceiver(receive=receive, settings=self.settings)
+        try:
+            await self.app(scope, body, send)
+        except RefusedError as error:
+            await self._refuse(error.refusal, scope, receive, send)
+        except asyncio.CancelledError:
+            if not self._tasks[task]:
+                raise
+            task.uncancel()
+            self.intake.metrics.count("requests.ended_by_shutdown")
+            failure = OutcomeUnknown(
+                reason="the entry host reached the deadline of its shutdown",
+                remedy="ask the service for the state before calling again",
+            )
+            await failure_response(failure)(scope, receive, send)
+
+    async def _refuse(
+        self, refusal: NotRun, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        self.intake.metrics.count(f"requests.refused.{refusal.status}")
+        response = failure_response(refusal)
+        if self.refusing:
+            response.headers[ADDRESSES_HEADER] = ", ".join(self.addresses)
+        if self.refusing or refusal.status in (408, 413):
+            response.headers["Connection"] = "close"
+        await response(scope, receive, send)
+
+    def _find_refusal(
+        self, headers: dict[bytes, bytes], organisation: str
+    ) -> NotRun | None:
+        """Return why a request is not taken, None where it is."""
+        if self.refusing and not self._owns_key(headers):
+            return NotRun(
+                reason="the entry host is shutting down",
+                remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
+                retry_after_s=0.0,
+            )
+        length = headers.get(_LENGTH, b"")
+        if length.isdigit() and int(length) > self.settings.max_body_bytes:
+            return _too_large(self.settings)
+        if self.active >= self.settings.max_concurrent_requests:
+            return NotRun(
+                reason="the entry host is at its limit of concurrent requests",
+                remedy="send it again after the retry time, or to another entry host",
+            )
+        return self._check_organisation(organisation)
+
+    def _check_organisation(self, organisation: str) -> NotRun | None:
+        """Return a refusal where an organisation has too much in progress."""
+        item = self.intake.view.fleet.organisations.get(organisation)
+        if item is None or self._active[organisation] < item.max_concurrent_requests:
+            return None
+        return NotRun(
+            reason=f"{organisation!r} has {self._active[organisation]} requests in "
+            "progress at this entry host, its limit",
+            remedy="wait for answers, or ask the operators for a higher limit",
+            status=429,
+        )
+
+    def _owns_key(self, headers: dict[bytes, bytes]) -> bool:
+        """Return whether only this process can answer a call's key."""
+        minted = MintedId.parse(headers.get(_KEY, b"").decode("latin-1"))
+        ids = self.intake.ids
+        return minted is not None and minted.incarnation == ids.incarnation
+
+
+@dataclass(kw_only=True)
+class _BodyReceiver:
+    """Receives the body of one request within its bounds.
+
+    :param receive: the server's own function.
+    :param settings: the bounds.
+    """
+
+    receive: Receive
+    settings: EntrySettings
+    received_bytes: int = 0
+    whole: bool = False
+
+    async def __call__(self) -> Message:
+        """Return the next part of the body, or the caller's disconnect."""
+        if self.whole:
+            return await self.receive()
+        try:
+            async with asyncio.timeout(self.settings.receive_timeout_s):
+                message = await self.receive()
+        except TimeoutError:
+            raise RefusedError(
+                NotRun(
+                    reason="the request's body did not arrive in time",
+                    remedy="send the whole body at once",
+                    status=408,
+                )
+            ) from None
+        self.received_bytes += len(message.get("body", b""))
+        if self.received_bytes > self.settings.max_body_bytes:
+            raise RefusedError(_too_large(self.settings))
+        self.whole = not message.get("more_body", False)
+        return message
+
+
+def _too_large(settings: EntrySettings) -> NotRun:
+    return NotRun(
+        reason="the request's body is too large",
+        remedy=f"send at most {settings.max_body_bytes} bytes",
+        retry_after_s=0.0,
+        status=413,
+    )
--- a/lacewinglug/load/driver.py
+++ b/lacewinglug/load/driver.py
@@ -12,7 +12,7 @@
 from lacewinglug.clock import Clock
 from lacewinglug.load.plan import Arrival
 from lacewinglug.load.summary import RequestResult
-from lacewinglug.requests.prompts import PromptBody
+from lacewinglug.requests.answers import PromptBody
 
 ANSWERED = "answered"
 CONNECTION_LOST = "connection_lost"
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -52,16 +52,27 @@
 
     :param port: TCP port for callers.
     :param address_ttl_s: how long a caller may keep an entry address, in seconds.
+    :param leave_notice_s: time until every host knows that this one leaves, in
+        seconds.
     :param drain_deadline_s: longest shutdown, in seconds.
     :param default_timeout_s: timeout of a request that names none, in seconds.
     :param max_body_bytes: largest request body, in bytes.
+    :param max_concurrent_requests: requests in progress at this host.
+    :param receive_timeout_s: longest wait for a request to arrive whole, in
+        seconds.
+    :param caller_stall_timeout_s: longest wait for a caller to read what was sent,
+        in seconds.
     """
 
     port: Port
     address_ttl_s: PositiveSeconds
+    leave_notice_s: PositiveSeconds
     drain_deadline_s: PositiveSeconds
     default_timeout_s: PositiveSeconds
     max_body_bytes: Annotated[int, Field(ge=1024)]
+    max_concurrent_requests: Annotated[int, Field(ge=1)]
+    receive_timeout_s: PositiveSeconds
+    caller_stall_timeout_s: PositiveSeconds
 
 
 class StewardSettings(_Section):
--- a/lacewinglug/standin/engine.py
+++ b/lacewinglug/standin/engine.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
+import aiohttp
 import msgspec
 import xxhash
 from starlette.applications import Starlette
@@ -17,12 +18,17 @@
     EngineOrder,
     EngineState,
     GenerateRequest,
+    KvImport,
+    KvImportReply,
     LoadReport,
     OrderReply,
     StreamLine,
     TokenLine,
 )
 
+_KV_BYTES_PER_TOKEN = 64
+_KEPT_KV_REQUESTS = 256
+
 
 def expected_token(prompt: str, index: int) -> str:
     """Return the token that every engine generates at a place of an answer."""
@@ -57,6 +63,8 @@
     orders: list[EngineOrder] = field(default_factory=list)
     prompts: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    imported: list[str] = field(default_factory=list)
+    kv_tokens: dict[str, int] = field(default_factory=dict)
     switch: FaultSwitch = field(default_factory=lambda: FaultSwitch(faults=Faults()))
 
     def __post_init__(self) -> None:
@@ -95,19 +103,25 @@
         )
 
     async def _generate(self, message: GenerateRequest) -> AsyncIterator[bytes]:
-        prompt_tokens = len(message.prompt.split())
+        context_tokens = len(message.prompt.split()) + message.resume_from
+        known_tokens = self.kv_tokens.get(message.request_id, 0)
+        prompt_tokens = max(0, context_tokens - known_tokens)
         self.queued += 1
         self.queued_prefill_tokens += prompt_tokens
         finished = False
-        async with self._slots:
-            self.queued -= 1
-            self.running += 1
-            try:
+        started = False
+        try:
+            async with self._slots:
+                self.queued -= 1
+                self.running += 1
+                started = True
                 await asyncio.sleep(prompt_tokens / self.prefill_tokens_per_s)
                 self.queued_prefill_tokens -= prompt_tokens
                 prompt_tokens = 0
                 for index in range(message.resume_from, message.max_tokens):
                     await asyncio.sleep(self.token_interval_s)
+                    self._note_kv(message.request_id, context_tokens + 1)
+                    context_tokens += 1
                     yield _encode_line(
                         TokenLine(
                             request_id=message.request_id,
@@ -119,11 +133,52 @@
                     EndLine(request_id=message.request_id, tokens=message.max_tokens)
                 )
                 finished = True
-            finally:
+        finally:
+            if started:
                 self.running -= 1
-                self.queued_prefill_tokens -= prompt_tokens
-                if not finished:
-                    self.cancelled.append(message.request_id)
+            else:
+                self.queued -= 1
+            self.queued_prefill_tokens -= prompt_tokens
+            if not finished:
+                self.cancelled.append(message.request_id)
+
+    def _note_kv(self, request_id: str, tokens: int) -> None:
+        """Keep the KV cache of a request, forgetting the oldest ones."""
+        self.kv_tokens.pop(request_id, None)
+        self.kv_tokens[request_id] = tokens
+        if len(self.kv_tokens) > _KEPT_KV_REQUESTS:
+            del self.kv_tokens[next(iter(self.kv_tokens))]
+
+    async def handle_kv_export(self, request: Request) -> Response:
+        """Return the KV cache of a request."""
+        refusal = await self.switch.before()
+        if refusal is not None:
+            return refusal
+        tokens = self.kv_tokens.get(request.query_params.get("request_id", ""))
+        if tokens is None:
+            return JSONResponse({"error": "no such KV cache"}, status_code=404)
+        return Response(bytes(tokens * _KV_BYTES_PER_TOKEN))
+
+    async def handle_kv_import(self, request: Request) -> Response:
+        """Fetch the KV cache of a request from another engine."""
+        refusal = await self.switch.before()
+        if refusal is not None:
+            return refusal
+        message = msgspec.json.decode(await request.body(), type=KvImport)
+        url = f"{message.source_url}/kv"
+        params = {"request_id": message.request_id}
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url, params=params, raise_for_status=True) as response,
+            ):
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return JSONResponse({"error": f"no KV cache: {error!r}"}, status_code=502)
+        tokens = len(content) // _KV_BYTES_PER_TOKEN
+        self._note_kv(message.request_id, tokens)
+        self.imported.append(message.request_id)
+        return json_response(KvImportReply(tokens=tokens))
 
     async def handle_order(self, request: Request) -> Response:
         """Carry out an order, refusing an old fencing number where checked."""
@@ -182,6 +237,7 @@
                 "orders": self.orders,
                 "prompts": self.prompts,
                 "cancelled": self.cancelled,
+                "imported": self.imported,
             }
         )
 
@@ -191,6 +247,8 @@
             routes=[
                 Route("/load", self.handle_load, methods=["GET"]),
                 Route("/generate", self.handle_generate, methods=["POST"]),
+                Route("/kv", self.handle_kv_export, methods=["GET"]),
+                Route("/kv", self.handle_kv_import, methods=["POST"]),
                 Route("/orders", self.handle_order, methods=["POST"]),
                 Route("/state", self.handle_state, methods=["GET"]),
                 Route("/journal", self.handle_journal, methods=["GET"]),
--- a/lacewinglug/ui/entry.py
+++ b/lacewinglug/ui/entry.py
@@ -1,5 +1,7 @@
 """The program ``lacewinglug-entry``."""
 
+import asyncio
+import signal
 from pathlib import Path
 
 import click
@@ -22,9 +24,14 @@
 
 
 async def _run(settings: Settings, incarnation: str, metrics: Metrics) -> None:
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
     await run_entry(
         settings=settings,
         incarnation=incarnation,
         clock=SystemClock(),
         metrics=metrics,
+        stop_requested=stop_requested,
     )
--- a/lacewinglug/upstream/client.py
+++ b/lacewinglug/upstream/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 import msgspec
@@ -12,6 +13,8 @@
     EngineOrder,
     EngineState,
     GenerateRequest,
+    KvImport,
+    KvImportReply,
     LoadReport,
     OrderReply,
     StreamLine,
@@ -22,7 +25,7 @@
 _POLL_TIMEOUT_S = 2.0
 _ORDER_TIMEOUT_S = 5.0
 _CONNECT_TIMEOUT_S = 2.0
-_LINE_TIMEOUT_S = 5.0
+MAX_LINE_BYTES = 65536
 
 _line_decoder = msgspec.json.Decoder(TokenLine | EndLine)
 
@@ -113,24 +116,51 @@
             raise RunnerError("answered another call", sent=True)
         return reply
 
+    async def import_kv(
+        self, url: str, message: KvImport, *, timeout_s: float
+    ) -> KvImportReply:
+        """Let an engine fetch a KV cache from another engine."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        data = msgspec.json.encode(message)
+        body = await self._fetch("POST", f"{url}/kv", data, timeout)
+        try:
+            return msgspec.json.decode(body, type=KvImportReply)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise RunnerError(f"answer not understood: {error}", sent=True) from None
+
     async def generate(
         self, url: str, message: GenerateRequest
-    ) -> AsyncGenerator[StreamLine, None]:
-        """Yield the lines of an engine's answer until its explicit end."""
-        timeout = aiohttp.ClientTimeout(
-            total=None, connect=_CONNECT_TIMEOUT_S, sock_read=_LINE_TIMEOUT_S
-        )
+    ) -> AsyncGenerator[list[StreamLine], None]:
+        """Yield the lines of an engine's answer, those that came together at once.
+
+        The caller of this method bounds the time between two batches.
+
+        :raises RunnerError: the engine refused, or its stream broke.
+        """
+        timeout = aiohttp.ClientTimeout(total=None, connect=_CONNECT_TIMEOUT_S)
         try:
             async with self.session.post(
                 f"{url}/generate", data=msgspec.json.encode(message), timeout=timeout
             ) as response:
-                if response.status != 200:
-                    raise RunnerError(f"answered status {response.status}", sent=True)
-                async for raw in response.content:
-                    yield _line_decoder.decode(raw)
+                _check_status(response.status)
+                rest = b""
+                async for data in response.content.iter_any():
+                    complete, newline, rest = (rest + data).rpartition(b"\n")
+                    if len(rest) > MAX_LINE_BYTES:
+                        raise RunnerError("a line is too long", sent=True)
+                    if newline:
+                        yield _line_decoder.decode_lines(complete)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise RunnerError(f"cannot connect: {error}", sent=False) from None
         except (aiohttp.ClientError, TimeoutError) as error:
             raise RunnerError(f"stream broken: {error!r}", sent=True) from None
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             raise RunnerError(f"line not understood: {error}", sent=True) from None
+
+
+def _check_status(status: int) -> None:
+    """Raise for an engine that does not stream; 503 means that it took nothing."""
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        raise RunnerError("accepts no prompts now", sent=False)
+    if status != HTTPStatus.OK:
+        raise RunnerError(f"answered status {status}", sent=True)
--- a/lacewinglug/upstream/messages.py
+++ b/lacewinglug/upstream/messages.py
@@ -72,6 +72,26 @@
 StreamLine = TokenLine | EndLine
 
 
+class KvImport(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks an engine to fetch the KV cache of a request from another engine.
+
+    :param request_id: id of the request.
+    :param source_url: base URL of the engine that has the KV cache.
+    """
+
+    request_id: str
+    source_url: str
+
+
+class KvImportReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to an import.
+
+    :param tokens: tokens whose KV cache the engine has now.
+    """
+
+    tokens: int
+
+
 class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
     """The whole wanted state of an engine.
 
--- a/tests/golden/test_whole_session.py
+++ b/tests/golden/test_whole_session.py
@@ -7,7 +7,7 @@
 
 from harness.deployment import Deployment
 from lacewinglug.caller import CallerClient
-from lacewinglug.requests.prompts import PromptBody
+from lacewinglug.requests.answers import PromptBody
 from tests.golden.session import SessionTranscript
 
 HOSTS = ["entry-1", "entry-2"]
