--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -1,27 +1,27 @@
 """Runs an entry from its settings."""
 
 import asyncio
-import contextlib
 import logging
 
 import aiohttp
-import uvicorn
 
 from lacewinglug.clock import Clock
 from lacewinglug.connections import make_connector
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
+from lacewinglug.entry.burn import BurnReporter
 from lacewinglug.entry.calls import CallHandler
-from lacewinglug.entry.connection import MAX_HEADER_BYTES, CallerProtocol
 from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.gate import Gate
 from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.link import StewardLink
 from lacewinglug.entry.prompts import PromptHandler
+from lacewinglug.entry.server import cancel_tasks, serve_http
 from lacewinglug.entry.shutdown import EntryShutdown
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
 from lacewinglug.requests.calls import CallRunner
 from lacewinglug.requests.keys import KeyLedger
@@ -30,19 +30,9 @@
 from lacewinglug.settings import Settings
 from lacewinglug.upstream.client import RunnerClient
 
-CLOSE_TIMEOUT_S = 5
-
 logger = logging.getLogger(__name__)
 
 
-class _Server(uvicorn.Server):
-    """HTTP server that leaves the signals to the program."""
-
-    def capture_signals(self) -> contextlib.AbstractContextManager[None]:  # type: ignore[override]
-        """Install no signal handlers."""
-        return contextlib.nullcontext()
-
-
 async def run_entry(
     *,
     settings: Settings,
@@ -78,24 +68,28 @@
             metrics=metrics,
             stop_requested=stop_requested,
         )
+        reporter = BurnReporter(
+            host=settings.host.name,
+            incarnation=incarnation,
+            recorder=app.intake.recorder,
+            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
+            clock=clock,
+            metrics=metrics,
+        )
         tasks = [
+            asyncio.create_task(reporter.run()),
             asyncio.create_task(_make_link(app, incarnation).run()),
             asyncio.create_task(app.prompts.watch.run()),
         ]
         logger.info("entry started", extra={"port": settings.entry.port})
         try:
-            await _serve(gate, settings, shutdown)
+            await serve_http(gate, settings, shutdown)
         finally:
-            await _cancel(tasks)
+            await cancel_tasks(tasks)
+            await reporter.flush()
     logger.info("entry stopped")
 
 
-async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def _build_app(
     *,
     settings: Settings,
@@ -110,9 +104,8 @@
     ledger = KeyLedger(ids=ids)
     client = RunnerClient(session=session)
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
-    intake = Intake(
-        view=view, ids=ids, recorder=OutcomeRecorder(), clock=clock, metrics=metrics
-    )
+    recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
+    intake = Intake(view=view, ids=ids, recorder=recorder, clock=clock, metrics=metrics)
     relay = PromptRelay(
         dispatcher=dispatcher, client=client, view=view, clock=clock, metrics=metrics
     )
@@ -152,26 +145,3 @@
         view=app.view,
         make_hello=make_hello,
     )
-
-
-async def _serve(gate: Gate, settings: Settings, shutdown: EntryShutdown) -> None:
-    """Run the HTTP server until the shutdown is complete."""
-    config = uvicorn.Config(
-        gate,
-        host=settings.host.address,
-        port=settings.entry.port,
-        http=CallerProtocol,
-        ws="none",
-        h11_max_incomplete_event_size=MAX_HEADER_BYTES,
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
-    )
-    server = _Server(config)
-    serving = asyncio.create_task(server.serve())
-    leaving = asyncio.create_task(shutdown.run())
-    await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
-    server.should_exit = True
-    await _cancel([leaving])
-    await serving
--- a/lacewinglug/entry/prompts.py
+++ b/lacewinglug/entry/prompts.py
@@ -10,8 +10,9 @@
 from starlette.types import Message, Receive, Scope, Send
 
 from lacewinglug.entry.connection import CONNECTION_KEY, CallerConnection
-from lacewinglug.entry.intake import ANSWERED, REQUEST_ID_HEADER, Intake
+from lacewinglug.entry.intake import REQUEST_ID_HEADER, Intake
 from lacewinglug.entry.responses import bad_request, failure_response, unknown_kind
+from lacewinglug.report.recorder import ANSWERED
 from lacewinglug.requests.answers import (
     AnswerBatch,
     AnswerEnd,
