--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -1,21 +1,23 @@
 """Runs an entry from its settings."""
 
 import asyncio
-import contextlib
 import logging
 
 import aiohttp
-import uvicorn
 
 from lacewinglug.clock import Clock
+from lacewinglug.connections import make_connector
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
 from lacewinglug.entry.burn import BurnReporter
 from lacewinglug.entry.calls import CallHandler
 from lacewinglug.entry.dispatch import Dispatcher
+from lacewinglug.entry.gate import Gate
 from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.link import StewardLink
 from lacewinglug.entry.prompts import PromptHandler
+from lacewinglug.entry.server import cancel_tasks, serve_http
+from lacewinglug.entry.shutdown import EntryShutdown
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
@@ -24,6 +26,7 @@
 from lacewinglug.requests.calls import CallRunner
 from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.prompts import PromptRelay
+from lacewinglug.requests.streams import StreamBounds, StreamWatch
 from lacewinglug.settings import Settings
 from lacewinglug.upstream.client import RunnerClient
 
@@ -31,7 +34,12 @@
 
 
 async def run_entry(
-    *, settings: Settings, incarnation: str, clock: Clock, metrics: Metrics
+    *,
+    settings: Settings,
+    incarnation: str,
+    clock: Clock,
+    metrics: Metrics,
+    stop_requested: asyncio.Event,
 ) -> None:
     """Serve callers until the process is asked to stop.
 
@@ -39,9 +47,9 @@
     :param incarnation: name of this run of the process.
     :param clock: source of time.
     :param metrics: counters.
+    :param stop_requested: starts the graceful shutdown when set.
     """
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with aiohttp.ClientSession(connector=make_connector()) as session:
         app = _build_app(
             settings=settings,
             incarnation=incarnation,
@@ -49,6 +57,17 @@
             metrics=metrics,
             session=session,
         )
+        gate = Gate(app=app.app(), intake=app.intake, settings=settings.entry)
+        shutdown = EntryShutdown(
+            settings=settings,
+            view=app.view,
+            intake=app.intake,
+            gate=gate,
+            watch=app.prompts.watch,
+            clock=clock,
+            metrics=metrics,
+            stop_requested=stop_requested,
+        )
         reporter = BurnReporter(
             host=settings.host.name,
             incarnation=incarnation,
@@ -57,16 +76,16 @@
             clock=clock,
             metrics=metrics,
         )
-        report_task = asyncio.create_task(reporter.run())
-        link_task = asyncio.create_task(_make_link(app, incarnation).run())
+        tasks = [
+            asyncio.create_task(reporter.run()),
+            asyncio.create_task(_make_link(app, incarnation).run()),
+            asyncio.create_task(app.prompts.watch.run()),
+        ]
         logger.info("entry started", extra={"port": settings.entry.port})
         try:
-            await _serve(app)
+            await serve_http(gate, settings, shutdown)
         finally:
-            for task in (link_task, report_task):
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
+            await cancel_tasks(tasks)
             await reporter.flush()
     logger.info("entry stopped")
 
@@ -87,7 +106,15 @@
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
     recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
     intake = Intake(view=view, ids=ids, recorder=recorder, clock=clock, metrics=metrics)
-    relay = PromptRelay(dispatcher=dispatcher, client=client, metrics=metrics)
+    relay = PromptRelay(
+        dispatcher=dispatcher, client=client, view=view, clock=clock, metrics=metrics
+    )
+    watch = StreamWatch(
+        view=view,
+        bounds=StreamBounds(caller_s=settings.entry.caller_stall_timeout_s),
+        clock=clock,
+        metrics=metrics,
+    )
     calls = CallRunner(
         dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
     )
@@ -95,7 +122,7 @@
         settings=settings,
         view=view,
         intake=intake,
-        prompts=PromptHandler(intake=intake, relay=relay),
+        prompts=PromptHandler(intake=intake, relay=relay, watch=watch),
         calls=CallHandler(intake=intake, calls=calls, ledger=ledger),
     )
 
@@ -118,18 +145,3 @@
         view=app.view,
         make_hello=make_hello,
     )
-
-
-async def _serve(app: EntryApp) -> None:
-    """Run the HTTP server until a signal stops it."""
-    settings = app.settings
-    config = uvicorn.Config(
-        app.app(),
-        host=settings.host.address,
-        port=settings.entry.port,
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        timeout_graceful_shutdown=int(settings.entry.drain_deadline_s),
-    )
-    await uvicorn.Server(config).serve()
