Name one owner for each key and authenticate callers, operators and entries

A key minted by an entry now carries a tag that binds it to the entry's run and to the organisation; only that run sends the call, once, and other entries forward repeats to it. A caller's own key is claimed by the first intent record in the stream of its shard; results are appended in batches so that others can answer after the owner's death.

--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
 from lacewinglug.entry.calls import KeyReply
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER
 from lacewinglug.membership.addresses import EntryAddresses
@@ -37,16 +38,21 @@
     :param entry_url: any entry host, to ask for addresses.
     :param organisation: name of the organisation.
     :param region: region of the caller.
+    :param key: key of the organisation, empty where none is declared.
     """
 
     session: aiohttp.ClientSession
     entry_url: str
     organisation: str
     region: str
+    key: str = field(default="", repr=False)
     addresses: list[str] = field(default_factory=list)
 
     def _headers(self) -> dict[str, str]:
-        return {CALLER_HEADER: self.organisation, REGION_HEADER: self.region}
+        headers = {CALLER_HEADER: self.organisation, REGION_HEADER: self.region}
+        if self.key:
+            headers[AUTHORIZATION_HEADER] = f"Bearer {self.key}"
+        return headers
 
     async def fetch_addresses(self) -> EntryAddresses:
         """Ask which entry hosts to use, and use the first from now on."""
@@ -87,9 +93,16 @@
         raise aiohttp.ClientPayloadError("the answer has no end; send it again")
 
     async def mint_key(self) -> str:
-        """Return a key for a call that may not be repeated."""
-        async with self.session.post(f"{self._entry}/v1/keys") as response:
-            return msgspec.json.decode(await response.read(), type=KeyReply).key
+        """Return a key for a call that may not be repeated.
+
+        :raises AnswerFailedError: the entry mints no key.
+        """
+        url = f"{self._entry}/v1/keys"
+        async with self.session.post(url, headers=self._headers()) as response:
+            content = await response.read()
+        if response.status != 201:
+            raise AnswerFailedError(msgspec.json.decode(content, type=FailureBody))
+        return msgspec.json.decode(content, type=KeyReply).key
 
     async def send_call(
         self, service: str, kind: str, body: str, *, key: str = ""
--- a/lacewinglug/entry/app.py
+++ b/lacewinglug/entry/app.py
@@ -12,7 +12,7 @@
 from lacewinglug.entry.calls import CallHandler
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER, Intake
 from lacewinglug.entry.prompts import PromptHandler
-from lacewinglug.entry.responses import message_response
+from lacewinglug.entry.responses import failure_response, message_response
 from lacewinglug.entry.view import EntryView
 from lacewinglug.membership.addresses import (
     EntryAddresses,
@@ -80,6 +80,9 @@
 
     async def handle_status(self, request: Request) -> Response:
         """Tell operators what this entry knows."""
+        refusal = self.intake.refuse_admin(request)
+        if refusal is not None:
+            return failure_response(refusal)
         config = self.view.config
         return message_response(
             StatusReply(
@@ -106,6 +109,11 @@
                 Route("/v1/keys", self.calls.handle_mint, methods=["POST"]),
                 Route(f"{service}/prompts", self.prompts.handle, methods=["POST"]),
                 Route(f"{service}/calls/{{kind}}", self.calls.handle, methods=["POST"]),
+                Route(
+                    "/internal/calls/{step}/{service}/{kind}",
+                    self.calls.handle_peer,
+                    methods=["POST"],
+                ),
                 Route("/v1/status", self.handle_status, methods=["GET"]),
             ]
         )
--- /dev/null
+++ b/lacewinglug/entry/authentication.py
@@ -0,0 +1,72 @@
+"""Checks who sends a request: an organisation, an operator or another entry."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from lacewinglug.entry.view import EntryView
+from lacewinglug.requests.outcomes import NotRun
+
+AUTHORIZATION_HEADER = "Authorization"
+_SCHEME = "bearer"
+
+
+@dataclass(kw_only=True)
+class Authenticator:
+    """Checks the keys that callers, operators and entries show.
+
+    :param view: what is known of the fleet.
+    :param admin_key: key of operators and entries, empty for no check.
+    """
+
+    view: EntryView
+    admin_key: str
+
+    def check_organisation(
+        self, organisation: str, authorization: str
+    ) -> NotRun | None:
+        """Return the refusal of a caller that is not who it says it is."""
+        organisations = self.view.fleet.organisations
+        if not organisations:
+            return None
+        declared = organisations.get(organisation)
+        if declared is None:
+            return _refuse(
+                f"organisation {organisation!r} is not declared",
+                "name a declared organisation in the X-Caller header",
+                status=403,
+            )
+        if not declared.key_sha256:
+            return None
+        shown = hashlib.sha256(_token(authorization).encode()).hexdigest()
+        if hmac.compare_digest(shown, declared.key_sha256):
+            return None
+        return _refuse(
+            f"the key of organisation {organisation!r} is missing or wrong",
+            "send the header Authorization: Bearer KEY",
+            status=401,
+        )
+
+    def check_admin(self, authorization: str) -> NotRun | None:
+        """Return the refusal of someone who is no operator and no entry."""
+        if not self.admin_key:
+            return None
+        shown = _token(authorization).encode()
+        if hmac.compare_digest(shown, self.admin_key.encode()):
+            return None
+        return _refuse(
+            "the admin key is missing or wrong",
+            "send the header Authorization: Bearer KEY with the key of the "
+            "settings' section admin",
+            status=401,
+        )
+
+
+def _token(authorization: str) -> str:
+    """Return the token of a header, empty when it has none."""
+    scheme, _, token = authorization.partition(" ")
+    return token.strip() if scheme.lower() == _SCHEME else ""
+
+
+def _refuse(reason: str, remedy: str, *, status: int) -> NotRun:
+    return NotRun(reason=reason, remedy=remedy, retry_after_s=0.0, status=status)
--- a/lacewinglug/entry/intake.py
+++ b/lacewinglug/entry/intake.py
@@ -6,10 +6,12 @@
 
 from lacewinglug.clock import Clock
 from lacewinglug.config.objects import RequestKind, ServiceKind
+from lacewinglug.entry.authentication import AUTHORIZATION_HEADER, Authenticator
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
 from lacewinglug.report.recorder import OutcomeRecorder, RequestOutcome
+from lacewinglug.requests.outcomes import NotRun
 from lacewinglug.routing.profile import RequestProfile
 
 CALLER_HEADER = "X-Caller"
@@ -27,6 +29,7 @@
     :param recorder: counts outcomes for the service-level report.
     :param clock: source of time.
     :param metrics: counters.
+    :param authenticator: checks who sends a request.
     """
 
     view: EntryView
@@ -34,9 +37,41 @@
     recorder: OutcomeRecorder
     clock: Clock
     metrics: Metrics
+    authenticator: Authenticator
     running: int = 0
     leaving: bool = False
 
+    def refuse_caller(self, request: Request) -> NotRun | None:
+        """Return the refusal of a caller that cannot be served, else None."""
+        if self.view.config is None:
+            return NotRun(
+                reason="this entry has no configuration yet",
+                remedy="send the request again after the retry time",
+                repeat_with="same_key",
+            )
+        return self.authenticator.check_organisation(
+            request.headers.get(CALLER_HEADER, ""),
+            request.headers.get(AUTHORIZATION_HEADER, ""),
+        )
+
+    def refuse_peer(self, request: Request, authorization: str) -> NotRun | None:
+        """Return the refusal of a request that no other entry forwards.
+
+        :param request: the request.
+        :param authorization: proof of the caller whose request is forwarded.
+        """
+        refusal = self.refuse_admin(request)
+        if refusal is not None:
+            return refusal
+        organisation = request.headers.get(CALLER_HEADER, "")
+        return self.authenticator.check_organisation(organisation, authorization)
+
+    def refuse_admin(self, request: Request) -> NotRun | None:
+        """Return the refusal of a request of no operator and no entry."""
+        return self.authenticator.check_admin(
+            request.headers.get(AUTHORIZATION_HEADER, "")
+        )
+
     def find_kind(
         self, service_name: str, service_kind: ServiceKind, kind_name: str
     ) -> RequestKind | None:
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -10,7 +10,8 @@
 from lacewinglug.clock import Clock
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
-from lacewinglug.entry.calls import CallHandler
+from lacewinglug.entry.authentication import Authenticator
+from lacewinglug.entry.call_wiring import APPEND_TIMEOUT_S, CallParts, build_calls
 from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.link import StewardLink
@@ -18,9 +19,8 @@
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
-from lacewinglug.requests.calls import CallRunner
-from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.prompts import PromptRelay
 from lacewinglug.settings import Settings
 from lacewinglug.upstream.client import RunnerClient
@@ -39,22 +39,30 @@
     :param metrics: counters.
     """
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        app = _build_app(
+    fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        aiohttp.ClientSession(connector=fresh_connector) as fresh_session,
+    ):
+        app, calls = _build_app(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
             metrics=metrics,
             session=session,
+            fresh_session=fresh_session,
         )
+        calls_task = asyncio.create_task(calls.run())
         link_task = asyncio.create_task(_make_link(app, incarnation).run())
         logger.info("entry started", extra={"port": settings.entry.port})
         try:
             await _serve(app)
         finally:
-            link_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await link_task
+            for task in (link_task, calls_task):
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+            await calls.close()
     logger.info("entry stopped")
 
 
@@ -65,27 +73,43 @@
     clock: Clock,
     metrics: Metrics,
     session: aiohttp.ClientSession,
-) -> EntryApp:
+    fresh_session: aiohttp.ClientSession,
+) -> tuple[EntryApp, CallParts]:
     """Put the parts of an entry together."""
     view = EntryView(availability_zone=settings.host.availability_zone)
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
-    ledger = KeyLedger(ids=ids)
-    client = RunnerClient(session=session)
+    client = RunnerClient(session=session, fresh_session=fresh_session)
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
     intake = Intake(
-        view=view, ids=ids, recorder=OutcomeRecorder(), clock=clock, metrics=metrics
+        view=view,
+        ids=ids,
+        recorder=OutcomeRecorder(),
+        clock=clock,
+        metrics=metrics,
+        authenticator=Authenticator(view=view, admin_key=settings.admin.key),
     )
     relay = PromptRelay(dispatcher=dispatcher, client=client, metrics=metrics)
-    calls = CallRunner(
-        dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
+    calls = build_calls(
+        settings=settings,
+        ids=ids,
+        intake=intake,
+        dispatcher=dispatcher,
+        client=client,
+        log=HttpLogClient(
+            session=session,
+            base_url=settings.platform.log_url,
+            append_timeout_s=APPEND_TIMEOUT_S,
+        ),
+        session=fresh_session,
     )
-    return EntryApp(
+    app = EntryApp(
         settings=settings,
         view=view,
         intake=intake,
         prompts=PromptHandler(intake=intake, relay=relay),
-        calls=CallHandler(intake=intake, calls=calls, ledger=ledger),
+        calls=calls.handler,
     )
+    return app, calls
 
 
 def _make_link(app: EntryApp, incarnation: str) -> StewardLink:
--- a/lacewinglug/entry/prompts.py
+++ b/lacewinglug/entry/prompts.py
@@ -33,6 +33,9 @@
 
     async def handle(self, request: Request) -> Response:
         """Relay a prompt and stream the answer."""
+        refusal = self.intake.refuse_caller(request)
+        if refusal is not None:
+            return failure_response(refusal)
         service = request.path_params["service"]
         try:
             body = msgspec.json.decode(await request.body(), type=PromptBody)
--- a/lacewinglug/entry/responses.py
+++ b/lacewinglug/entry/responses.py
@@ -1,5 +1,7 @@
 """HTTP responses that carry typed messages and failures."""
 
+import math
+
 import msgspec
 from starlette.responses import Response
 
@@ -10,6 +12,8 @@
     failure_status,
 )
 
+_UNAUTHORIZED = 401
+
 
 def message_response(message: object, *, status_code: int = 200) -> Response:
     """Return a message as a JSON response."""
@@ -25,7 +29,9 @@
     body = failure_body(failure)
     response = message_response(body, status_code=failure_status(failure))
     if body.retry_after_s > 0:
-        response.headers["Retry-After"] = f"{body.retry_after_s:.0f}"
+        response.headers["Retry-After"] = str(math.ceil(body.retry_after_s))
+    if response.status_code == _UNAUTHORIZED:
+        response.headers["WWW-Authenticate"] = "Bearer"
     return response
 
 
--- a/lacewinglug/requests/keys.py
+++ b/lacewinglug/requests/keys.py
@@ -1,46 +1,140 @@
 """Keys of calls that may run at most once."""
 
-import asyncio
+import hashlib
+import hmac
+import uuid
 from dataclasses import dataclass, field
+from typing import Self
 
-from returns.result import Result
+from lacewinglug.ids import MintedId
 
-from lacewinglug.ids import IdFactory, MintedId
-from lacewinglug.requests.outcomes import RequestFailure
-from lacewinglug.upstream.messages import CallReply
+_TAG_LENGTH = 16
+_DIGEST_BYTES = 16
+_UUID_WITH_TIME = 7
+_MAX_KEY_LENGTH = 255
+_BITS_PER_BYTE = 8
 
-CallResult = Result[CallReply, RequestFailure]
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MintedKey:
+    """A key minted by an entry process.
+
+    :param owner: the process that minted it, and its place among that run's keys.
+    :param tag: proves that the owner minted the key, and for which organisation.
+    """
+
+    owner: MintedId
+    tag: str
+
+    @classmethod
+    def parse(cls, text: str) -> Self | None:
+        """Read a key, or return None when no entry mints keys of this form."""
+        prefix, _, tag = text.rpartition(".")
+        owner = MintedId.parse(prefix)
+        if owner is None or len(tag) != _TAG_LENGTH:
+            return None
+        return cls(owner=owner, tag=tag)
+
+
+def is_valid_key(text: str) -> bool:
+    """Return whether a text can be a caller's own key."""
+    return 0 < len(text) <= _MAX_KEY_LENGTH and text.isascii() and text.isprintable()
+
+
+def own_key_id(*, organisation: str, service: str, key: str) -> str:
+    """Return the id of a caller's own key, apart for each organisation and service."""
+    return _digest("own", organisation, service, key)
+
+
+def call_fingerprint(*, organisation: str, service: str, kind: str, body: bytes) -> str:
+    """Return a digest that differs between calls which are not repeats."""
+    return _digest("call", organisation, service, kind, body)
+
+
+def _digest(*parts: str | bytes) -> str:
+    """Return the digest of a sequence of texts."""
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        digest.update(len(data).to_bytes(8, "big"))
+        digest.update(data)
+    return digest.hexdigest()
+
+
+def key_time_s(key: str) -> float | None:
+    """Return the time inside a UUID of version 7, in seconds since the Unix epoch."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != _UUID_WITH_TIME:
+        return None
+    return (parsed.int >> 80) / 1000.0
 
 
 @dataclass(kw_only=True)
-class KeyLedger:
-    """The calls that this process ran, by the key that it minted for each.
+class KeyMinter:
+    """Mints the keys of one run of an entry, and knows which of them were used.
+
+    Keys older than the last ``window`` ones are no longer told apart.
 
-    :param ids: makes the keys.
+    :param host: name of the host.
+    :param incarnation: name of this run of the process.
+    :param secret: random bytes of this run, which make keys impossible to guess.
+    :param window: number of keys whose use is remembered.
     """
 
-    ids: IdFactory
-    _calls: dict[str, asyncio.Future[CallResult]] = field(default_factory=dict)
+    host: str
+    incarnation: str
+    secret: bytes
+    window: int
+    last_sequence: int = 0
+    _spent: bytearray = field(init=False)
 
-    def mint(self) -> str:
+    def __post_init__(self) -> None:
+        self._spent = bytearray(self.window // _BITS_PER_BYTE + 1)
+
+    def mint(self, organisation: str) -> str:
         """Return a new key, which only this process may run."""
-        return self.ids.make()
-
-    def owns(self, key: str) -> bool:
-        """Return whether this run of the process minted the key."""
-        minted = MintedId.parse(key)
-        return (
-            minted is not None
-            and minted.host == self.ids.host
-            and minted.incarnation == self.ids.incarnation
+        self.last_sequence += 1
+        byte, mask = self._place(self.last_sequence)
+        self._spent[byte] &= ~mask
+        prefix = f"{self.host}.{self.incarnation}.{self.last_sequence}"
+        return f"{prefix}.{self._tag(prefix, organisation)}"
+
+    def owns(self, key: MintedKey) -> bool:
+        """Return whether a key names this run of the process."""
+        owner = key.owner
+        return owner.host == self.host and owner.incarnation == self.incarnation
+
+    def is_genuine(self, key: MintedKey, organisation: str) -> bool:
+        """Return whether this process minted a key for an organisation."""
+        owner = key.owner
+        prefix = f"{owner.host}.{owner.incarnation}.{owner.sequence}"
+        expected = self._tag(prefix, organisation)
+        return 0 < owner.sequence <= self.last_sequence and hmac.compare_digest(
+            expected.encode(), key.tag.encode()
         )
 
-    def find(self, key: str) -> asyncio.Future[CallResult] | None:
-        """Return the call that runs or ran under a key."""
-        return self._calls.get(key)
+    def is_spent(self, key: MintedKey) -> bool:
+        """Return whether a key was used, or is too old to tell."""
+        sequence = key.owner.sequence
+        if sequence <= self.last_sequence - self.window:
+            return True
+        byte, mask = self._place(sequence)
+        return bool(self._spent[byte] & mask)
+
+    def spend(self, key: MintedKey) -> None:
+        """Note that a key is used."""
+        byte, mask = self._place(key.owner.sequence)
+        self._spent[byte] |= mask
+
+    def _place(self, sequence: int) -> tuple[int, int]:
+        """Return the byte and the bit mask of a key."""
+        byte, bit = divmod(sequence % self.window, _BITS_PER_BYTE)
+        return byte, 1 << bit
 
-    def begin(self, key: str) -> asyncio.Future[CallResult]:
-        """Note that the call of a key is about to be sent."""
-        future: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
-        self._calls[key] = future
-        return future
+    def _tag(self, prefix: str, organisation: str) -> str:
+        message = f"{prefix}/{organisation}".encode()
+        digest = hmac.new(self.secret, message, hashlib.sha256)
+        return digest.hexdigest()[:_TAG_LENGTH]
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -77,6 +77,38 @@
     log_wait_s: PositiveSeconds
 
 
+class CallSettings(_Section):
+    """Settings of calls that may not be repeated.
+
+    :param key_window: minted keys whose use is remembered.
+    :param max_results: results kept in memory.
+    :param max_result_bytes: size of the results kept in memory, in bytes.
+    :param max_own_keys: callers' own keys held in memory.
+    :param own_key_window_s: time for which a caller's own key is remembered, in
+        seconds; shorter than the log keeps its records.
+    :param intent_interval_s: shortest time between two appends of intents to one
+        stream, in seconds.
+    :param outcome_interval_s: time between two appends of results, in seconds.
+    """
+
+    key_window: Annotated[int, Field(ge=1000)]
+    max_results: Annotated[int, Field(ge=1)]
+    max_result_bytes: Annotated[int, Field(ge=1024)]
+    max_own_keys: Annotated[int, Field(ge=1)]
+    own_key_window_s: Annotated[float, Field(gt=0)]
+    intent_interval_s: PositiveSeconds
+    outcome_interval_s: PositiveSeconds
+
+
+class AdminSettings(_Section):
+    """Who may use the paths of operators and of other entries.
+
+    :param key: key that operators and entries show, empty for no check.
+    """
+
+    key: str = Field(repr=False)
+
+
 class LoggingSettings(_Section):
     """How log lines are written.
 
@@ -106,6 +138,8 @@
     platform: PlatformSettings
     entry: EntrySettings
     steward: StewardSettings
+    calls: CallSettings
+    admin: AdminSettings
     logging: LoggingSettings
     metrics: MetricsSettings
 
--- a/lacewinglug/ui/common.py
+++ b/lacewinglug/ui/common.py
@@ -51,6 +51,12 @@
     required=True,
     help="Base URL of any entry host (or LACEWINGLUG_ENTRY_URL).",
 )
+admin_key_option = click.option(
+    "--admin-key",
+    envvar="LACEWINGLUG_ADMIN_KEY",
+    default="",
+    help="Key of the settings' section admin (or LACEWINGLUG_ADMIN_KEY).",
+)
 json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 operator_option = click.option(
     "--operator",
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from lacewinglug.entry.app import StatusReply
+from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
 from lacewinglug.errors import UserError
 from lacewinglug.ui.common import (
     EXIT_UNAVAILABLE,
+    admin_key_option,
     echo_json,
     entry_option,
     json_option,
@@ -19,10 +21,11 @@
 
 @click.command(epilog="Example: lacewinglug status --entry http://127.0.0.1:8700")
 @entry_option
+@admin_key_option
 @json_option
-def status(entry: str, as_json: bool) -> None:
+def status(entry: str, admin_key: str, as_json: bool) -> None:
     """Show hosts, runners and order domains as one entry host sees them."""
-    reply = run_async(_fetch(entry))
+    reply = run_async(_fetch(entry, admin_key))
     if as_json:
         echo_json(reply)
         return
@@ -30,12 +33,13 @@
         click.echo(line)
 
 
-async def _fetch(entry: str) -> StatusReply:
+async def _fetch(entry: str, admin_key: str) -> StatusReply:
+    headers = {AUTHORIZATION_HEADER: f"Bearer {admin_key}"} if admin_key else {}
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"{entry}/v1/status") as response,
+            session.get(f"{entry}/v1/status", headers=headers) as response,
         ):
             body = await response.read()
     except (aiohttp.ClientError, TimeoutError) as error:
@@ -43,6 +47,8 @@
             f"{entry} does not answer ({error!r}); try another entry host",
             exit_code=EXIT_UNAVAILABLE,
         ) from None
+    if response.status == 401:
+        raise UserError(f"{entry} wants the admin key; give it by --admin-key")
     return msgspec.json.decode(body, type=StatusReply)
 
 
--- a/lacewinglug/upstream/client.py
+++ b/lacewinglug/upstream/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
+from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -19,6 +20,7 @@
 )
 
 KEY_HEADER = "Idempotency-Key"
+ORGANISATION_HEADER = "X-Caller"
 _POLL_TIMEOUT_S = 2.0
 _ORDER_TIMEOUT_S = 5.0
 _CONNECT_TIMEOUT_S = 2.0
@@ -39,14 +41,49 @@
         self.sent = sent
 
 
+class RunnerStatusError(RunnerError):
+    """A runner took the request and answered with an error status.
+
+    :param status: HTTP status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"answered status {status}", sent=True)
+        self.status = status
+
+
+class CallTransport(Protocol):
+    """A way to send calls to plain services."""
+
+    async def call(
+        self,
+        url: str,
+        path: str,
+        *,
+        key: str,
+        organisation: str,
+        body: bytes,
+        timeout_s: float,
+        repeatable: bool,
+    ) -> CallReply:
+        """Send a call once and return its answer.
+
+        :raises RunnerError: there is no answer to this call.
+        """
+        ...
+
+
 @dataclass(kw_only=True)
 class RunnerClient:
     """Talks to engines and plain services over HTTP.
 
     :param session: HTTP client session.
+    :param fresh_session: session that opens a connection for each request, for
+        calls that may not be repeated; None to use ``session`` for all.
     """
 
     session: aiohttp.ClientSession
+    fresh_session: aiohttp.ClientSession | None = None
 
     async def fetch_load(self, url: str) -> LoadReport:
         """Return the load report of a runner."""
@@ -89,14 +126,35 @@
         return body
 
     async def call(
-        self, url: str, path: str, *, key: str, body: bytes, timeout_s: float
+        self,
+        url: str,
+        path: str,
+        *,
+        key: str,
+        organisation: str,
+        body: bytes,
+        timeout_s: float,
+        repeatable: bool,
     ) -> CallReply:
-        """Run a call at a plain service and return its answer."""
+        """Send a call to a plain service once and return its answer.
+
+        A redirect is an error, as following it would send the call again. The
+        HTTP library repeats no POST by itself. A call that may not be repeated
+        gets a connection of its own, so none is lost on a stale one.
+
+        :raises RunnerError: there is no answer to this call.
+        """
+        session = self.session
+        if not repeatable and self.fresh_session is not None:
+            session = self.fresh_session
         timeout = aiohttp.ClientTimeout(total=timeout_s, connect=_CONNECT_TIMEOUT_S)
-        headers = {KEY_HEADER: key}
         try:
-            async with self.session.post(
-                url + path, data=body, headers=headers, timeout=timeout
+            async with session.post(
+                url + path,
+                data=body,
+                headers={KEY_HEADER: key, ORGANISATION_HEADER: organisation},
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 content = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -104,13 +162,13 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             raise RunnerError(f"no answer: {error!r}", sent=True) from None
         if response.status != 200:
-            raise RunnerError(f"answered status {response.status}", sent=True)
+            raise RunnerStatusError(response.status)
         try:
             reply = msgspec.json.decode(content, type=CallReply)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             raise RunnerError(f"answer not understood: {error}", sent=True) from None
         if reply.key != key:
-            raise RunnerError("answered another call", sent=True)
+            raise RunnerError("the answer to another call", sent=True)
         return reply
 
     async def generate(
