--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -9,8 +9,9 @@
 from lacewinglug.connections import make_connector
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
+from lacewinglug.entry.authentication import Authenticator
 from lacewinglug.entry.burn import BurnReporter
-from lacewinglug.entry.calls import CallHandler
+from lacewinglug.entry.call_wiring import APPEND_TIMEOUT_S, CallParts, build_calls
 from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.gate import Gate
 from lacewinglug.entry.intake import Intake
@@ -23,8 +24,6 @@
 from lacewinglug.metrics import Metrics
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
-from lacewinglug.requests.calls import CallRunner
-from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.prompts import PromptRelay
 from lacewinglug.requests.streams import StreamBounds, StreamWatch
 from lacewinglug.settings import Settings
@@ -49,13 +48,17 @@
     :param metrics: counters.
     :param stop_requested: starts the graceful shutdown when set.
     """
-    async with aiohttp.ClientSession(connector=make_connector()) as session:
-        app = _build_app(
+    async with (
+        aiohttp.ClientSession(connector=make_connector()) as session,
+        aiohttp.ClientSession(connector=make_connector(reuse=False)) as fresh_session,
+    ):
+        app, calls = _build_app(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
             metrics=metrics,
             session=session,
+            fresh_session=fresh_session,
         )
         gate = Gate(app=app.app(), intake=app.intake, settings=settings.entry)
         shutdown = EntryShutdown(
@@ -78,6 +81,7 @@
         )
         tasks = [
             asyncio.create_task(reporter.run()),
+            asyncio.create_task(calls.run()),
             asyncio.create_task(_make_link(app, incarnation).run()),
             asyncio.create_task(app.prompts.watch.run()),
         ]
@@ -86,6 +90,7 @@
             await serve_http(gate, settings, shutdown)
         finally:
             await cancel_tasks(tasks)
+            await calls.close()
             await reporter.flush()
     logger.info("entry stopped")
 
@@ -97,15 +102,22 @@
     clock: Clock,
     metrics: Metrics,
     session: aiohttp.ClientSession,
-) -> EntryApp:
+    fresh_session: aiohttp.ClientSession,
+) -> tuple[EntryApp, CallParts]:
     """Put the parts of an entry together."""
     view = EntryView(availability_zone=settings.host.availability_zone)
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
-    ledger = KeyLedger(ids=ids)
-    client = RunnerClient(session=session)
+    client = RunnerClient(session=session, fresh_session=fresh_session)
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
     recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
-    intake = Intake(view=view, ids=ids, recorder=recorder, clock=clock, metrics=metrics)
+    intake = Intake(
+        view=view,
+        ids=ids,
+        recorder=recorder,
+        clock=clock,
+        metrics=metrics,
+        authenticator=Authenticator(view=view, admin_key=settings.admin.key),
+    )
     relay = PromptRelay(
         dispatcher=dispatcher, client=client, view=view, clock=clock, metrics=metrics
     )
@@ -115,16 +127,27 @@
         clock=clock,
         metrics=metrics,
     )
-    calls = CallRunner(
-        dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
+    calls = build_calls(
+        settings=settings,
+        ids=ids,
+        intake=intake,
+        dispatcher=dispatcher,
+        client=client,
+        log=HttpLogClient(
+            session=session,
+            base_url=settings.platform.log_url,
+            append_timeout_s=APPEND_TIMEOUT_S,
+        ),
+        session=fresh_session,
     )
-    return EntryApp(
+    app = EntryApp(
         settings=settings,
         view=view,
         intake=intake,
         prompts=PromptHandler(intake=intake, relay=relay, watch=watch),
-        calls=CallHandler(intake=intake, calls=calls, ledger=ledger),
+        calls=calls.handler,
     )
+    return app, calls
 
 
 def _make_link(app: EntryApp, incarnation: str) -> StewardLink:
