--- /dev/null
+++ b/bench/policy/entries.py
@@ -0,0 +1,413 @@
+"""Entries of the simulation: lacewinglug's policy and the baselines."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bench.policy.engine import Engine, Job
+from bench.policy.simulation import KV_BYTES_PER_S, KV_BYTES_PER_TOKEN, Simulation
+from lacewinglug.routing.choice import Placement, TransferCost
+from lacewinglug.routing.migration import (
+    MIN_SLOWNESS,
+)
+from lacewinglug.routing.policy import (
+    PolicySettings,
+    Refusal,
+    RoutingPolicy,
+    RunnerFacts,
+    Wait,
+)
+from lacewinglug.upstream.messages import LoadReport
+
+_ORGANISATION_WEIGHTS = {"a": 4.0, "b": 3.0, "c": 2.0, "d": 1.0}
+_MAX_ATTEMPTS = 4
+
+
+@dataclass(kw_only=True)
+class PolicyEntry:
+    """An entry that decides with the product's own policy.
+
+    :param simulation: the world.
+    :param index: index of the entry.
+    :param settings: rules in force.
+    """
+
+    simulation: Simulation
+    index: int
+    settings: PolicySettings = field(default_factory=PolicySettings)
+
+    def __post_init__(self) -> None:
+        simulation = self.simulation
+        site = simulation.site
+        self.policy = RoutingPolicy(
+            entry=f"entry-{self.index}",
+            settings=self.settings,
+            entries=len(site.entries),
+            transfer=TransferCost(
+                kv_bytes_per_token=KV_BYTES_PER_TOKEN, bytes_per_s=KV_BYTES_PER_S
+            ),
+        )
+        self.policy.update_runners(
+            [
+                RunnerFacts(
+                    name=engine.name,
+                    rates=site.roles,
+                    does={role: role for role in site.roles},
+                    default_role=engine.role,
+                    delay_s=simulation.delay_s(self.index, engine),
+                )
+                for engine in simulation.engines
+            ]
+        )
+        self._waiting: list[Job] = []
+        self._active: dict[Job, Engine] = {}
+        self._draining: set[str] = set()
+        self.offered_prefill = 0.0
+        self.offered_output = 0.0
+
+    def arrive(self, job: Job) -> None:
+        """Place a request that arrived."""
+        self.policy.retries.note_request()
+        self._place(job, excluded=())
+
+    def _place(self, job: Job, excluded: Sequence[str], again: bool = False) -> None:
+        now_s = self.simulation.loop.now_s
+        decision = self.policy.decide(
+            job.profile,
+            now_s=now_s,
+            organisation_weight=_ORGANISATION_WEIGHTS[job.profile.organisation],
+            excluded=excluded,
+            admitted=again,
+        )
+        if not again:
+            missing = job.profile.prompt_tokens
+            if isinstance(decision, Placement):
+                missing = job.profile.missing_tokens(decision.runner.cached_pieces)
+            self.offered_prefill += missing
+            self.offered_output += job.profile.output_tokens
+        match decision:
+            case Placement():
+                self._send(job, decision)
+            case Refusal():
+                self.simulation.refuse(job)
+            case Wait():
+                self._waiting.append(job)
+
+    def _send(self, job: Job, placement: Placement) -> None:
+        now_s = self.simulation.loop.now_s
+        engine = self.simulation.by_name[placement.runner.name]
+        job.lane = placement.lane
+        job.priority = placement.priority
+        job.split = placement.decode_runner is not placement.runner
+        job.sent_s = now_s
+        job.predicted_first_s = placement.first_token_s
+        missing = job.profile.missing_tokens(placement.runner.cached_pieces)
+        self._open(job, engine, missing)
+        self.policy.note_prefix(engine.name, job.profile.prefix_hashes)
+        self.simulation.send(job, engine)
+
+    def _open(self, job: Job, engine: Engine, prefill_tokens: int) -> None:
+        job.noted_prefill = prefill_tokens
+        job.held_from_s = self.simulation.loop.now_s
+        self._active[job] = engine
+        self.policy.note_sent(
+            engine.name,
+            lane=job.lane,
+            prefill_tokens=prefill_tokens,
+            now_s=self.simulation.loop.now_s,
+        )
+
+    def note_first_token(self, job: Job, engine: Engine) -> None:
+        """Note a first token; move the stream on where wanted."""
+        now_s = self.simulation.loop.now_s
+        self.policy.note_computed(
+            engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+        )
+        job.noted_prefill = 0
+        self.policy.note_first_token(
+            engine.name,
+            observed_s=now_s - job.sent_s,
+            expected_s=job.predicted_first_s,
+            now_s=now_s,
+        )
+        if not job.split:
+            return
+        target = self._target(job, engine)
+        if target is not None and target is not engine:
+            self._move(job, engine, target)
+
+    def _target(self, job: Job, engine: Engine) -> Engine | None:
+        now_s = self.simulation.loop.now_s
+        name = self.policy.choose_target(job.profile, now_s=now_s, excluded=())
+        return self.simulation.by_name[name] if name else None
+
+    def _move(self, job: Job, source: Engine, target: Engine) -> None:
+        self.note_closed(job, source)
+        self._open(job, target, 0)
+        self.simulation.move(job, source, target)
+
+    def note_closed(self, job: Job, engine: Engine) -> None:
+        """Note that an engine no longer works on a request."""
+        if self._active.get(job) is not engine:
+            return
+        del self._active[job]
+        now_s = self.simulation.loop.now_s
+        if job.noted_prefill:
+            self.policy.note_computed(
+                engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+            )
+            job.noted_prefill = 0
+        self.policy.note_closed(
+            engine.name, lane=job.lane, held_s=now_s - job.held_from_s, now_s=now_s
+        )
+
+    def note_finished(self, job: Job) -> None:
+        """Note that a request is answered whole."""
+        engine = self._active.get(job)
+        if engine is not None:
+            self.note_closed(job, engine)
+
+    def note_failed(self, job: Job, engine: Engine) -> None:
+        """Place again a request that an engine lost or refused."""
+        now_s = self.simulation.loop.now_s
+        self.policy.note_failed(engine.name, now_s=now_s)
+        job.moves += 1
+        if job.moves > _MAX_ATTEMPTS:
+            job.stage = "expired"
+            return
+        job.computed = False
+        self._place(job, excluded=(engine.name,), again=True)
+
+    def choose_move(self, job: Job, engine: Engine) -> Engine | None:
+        """Return where a request of a draining engine goes on."""
+        if not job.computed:
+            decision = self.policy.decide(
+                job.profile,
+                now_s=self.simulation.loop.now_s,
+                excluded=(engine.name,),
+                admitted=True,
+            )
+            if not isinstance(decision, Placement):
+                return None
+            target = self.simulation.by_name[decision.runner.name]
+            job.split = decision.decode_runner is not decision.runner
+        else:
+            found = self._target(job, engine)
+            if found is None:
+                return None
+            target = found
+        prefill_tokens = job.noted_prefill
+        self.note_closed(job, engine)
+        self._open(job, target, prefill_tokens)
+        return target
+
+    def note_report(self, engine: Engine, report: LoadReport, at_s: float) -> None:
+        """Take a load report."""
+        self.policy.note_report(engine.name, report, sampled_s=at_s)
+
+    def note_interval(self, engine: Engine, interval_s: float) -> None:
+        """Note the time between two tokens."""
+        self.policy.note_interval(
+            engine.name, interval_s=interval_s, now_s=self.simulation.loop.now_s
+        )
+
+    def note_cache(
+        self, engine: Engine, added: Sequence[int], evicted: Sequence[int]
+    ) -> None:
+        """Take a cache event."""
+        self.policy.note_cache(engine.name, added=added, evicted=evicted)
+
+    def note_draining(self, engine: Engine, draining: bool) -> None:
+        """Note that an engine takes no new work, or does again."""
+        if draining:
+            self._draining.add(engine.name)
+        else:
+            self._draining.discard(engine.name)
+            self.policy.note_role(engine.name, engine.role)
+        self.policy.set_unavailable(self._draining)
+
+    def tick(self) -> None:
+        """Look after the requests under way."""
+        waiting, self._waiting = self._waiting, []
+        for job in waiting:
+            if job.stage == "new":
+                self._place(job, excluded=(), again=True)
+        if self.settings.migration:
+            self._leave_slow_runners()
+
+    def _leave_slow_runners(self) -> None:
+        """Move streams off runners that have become slow."""
+        now_s = self.simulation.loop.now_s
+        slow = {
+            engine.name: ratio
+            for engine in self.simulation.engines
+            if (ratio := self.policy.slowness_of(engine.name, now_s)) >= MIN_SLOWNESS
+        }
+        if not slow:
+            return
+        for job, engine in list(self._active.items()):
+            if engine.name in slow and job.engine is engine:
+                self._leave(job, engine, now_s)
+
+    def _leave(self, job: Job, engine: Engine, now_s: float) -> None:
+        """Move one stream where it ends clearly sooner."""
+        if not self.simulation.is_connected(job.entry, engine):
+            return
+        move = self.policy.plan_move(
+            job.profile,
+            runner=engine.name,
+            computed=job.computed,
+            remaining_tokens=max(1, job.output_tokens - self._received(job, engine)),
+            now_s=now_s,
+        )
+        if move is None or not self.policy.retries.try_spend():
+            return
+        target = self.simulation.by_name[move]
+        prefill_tokens = job.noted_prefill
+        self.note_closed(job, engine)
+        self._open(job, target, prefill_tokens)
+        job.sent_s = now_s
+        self.simulation.move(job, engine, target)
+
+    def _received(self, job: Job, engine: Engine) -> int:
+        finish = engine.finish_steps.get(job)
+        if finish is None:
+            return job.tokens
+        return job.output_tokens - (finish - engine.step)
+
+
+@dataclass(kw_only=True)
+class BaselineEntry:
+    """An entry that places by turn or by the fewest requests.
+
+    :param simulation: the world.
+    :param index: index of the entry.
+    :param by_turn: place by turn.
+    :param split: compute the prompt and generate the answer on engines whose
+        roles say so.
+    """
+
+    simulation: Simulation
+    index: int
+    by_turn: bool = False
+    split: bool = False
+
+    def __post_init__(self) -> None:
+        self._next = self.index
+        self._own: dict[str, int] = {}
+        self._reported: dict[str, LoadReport] = {}
+        self._roles = {item.name: item.role for item in self.simulation.engines}
+        self._active: dict[Job, Engine] = {}
+        self._closed: set[str] = set()
+        self.offered_prefill = 0.0
+        self.offered_output = 0.0
+
+    def arrive(self, job: Job) -> None:
+        """Place a request that arrived."""
+        self.offered_prefill += job.profile.missing_tokens(
+            len(job.profile.prefix_hashes)
+        )
+        self.offered_output += job.profile.output_tokens
+        self._place(job, "")
+
+    def _place(self, job: Job, excluded: str) -> None:
+        engine = self._choose("prefill", excluded)
+        if engine is None:
+            self.simulation.refuse(job)
+            return
+        self._open(job, engine)
+        self.simulation.send(job, engine)
+
+    def _choose(self, phase: str, excluded: str) -> Engine | None:
+        engines = [
+            item
+            for item in self.simulation.engines
+            if item.name not in self._closed and item.name != excluded
+        ]
+        if not engines:
+            return None
+        if self.split:
+            fitting = [
+                item for item in engines if self._roles[item.name] in (phase, "mixed")
+            ]
+            engines = fitting or engines
+        if self.by_turn:
+            self._next += 1
+            return engines[self._next % len(engines)]
+        return min(engines, key=self._load)
+
+    def _load(self, engine: Engine) -> tuple[float, int]:
+        report = self._reported.get(engine.name)
+        own = self._own.get(engine.name, 0)
+        reported = report.running + report.queued if report else 0
+        slots = report.slots if report else 1
+        index = self.simulation.engines.index(engine)
+        return max(own, reported) / slots, (index - self.index) % 6
+
+    def _open(self, job: Job, engine: Engine) -> None:
+        self._active[job] = engine
+        self._own[engine.name] = self._own.get(engine.name, 0) + 1
+
+    def note_first_token(self, job: Job, engine: Engine) -> None:
+        """Note a first token; move the stream on where wanted."""
+        if not self.split or self._roles[engine.name] != "prefill":
+            return
+        target = self._choose("decode", "")
+        if target is None or target is engine:
+            return
+        self.note_closed(job, engine)
+        self._open(job, target)
+        self.simulation.move(job, engine, target)
+
+    def note_closed(self, job: Job, engine: Engine) -> None:
+        """Note that an engine no longer works on a request."""
+        if self._active.get(job) is engine:
+            del self._active[job]
+            self._own[engine.name] -= 1
+
+    def note_finished(self, job: Job) -> None:
+        """Note that a request is answered whole."""
+        engine = self._active.get(job)
+        if engine is not None:
+            self.note_closed(job, engine)
+
+    def note_failed(self, job: Job, engine: Engine) -> None:
+        """Place again a request that an engine lost or refused."""
+        job.moves += 1
+        if job.moves > _MAX_ATTEMPTS:
+            job.stage = "expired"
+            return
+        job.computed = False
+        self._place(job, engine.name)
+
+    def choose_move(self, job: Job, engine: Engine) -> Engine | None:
+        """Return where a request of a draining engine goes on."""
+        target = self._choose("decode" if job.computed else "prefill", engine.name)
+        if target is not None:
+            self.note_closed(job, engine)
+            self._open(job, target)
+        return target
+
+    def note_report(self, engine: Engine, report: LoadReport, at_s: float) -> None:
+        """Take a load report."""
+        self._reported[engine.name] = report
+
+    def note_interval(self, engine: Engine, interval_s: float) -> None:
+        """Ignore the time between two tokens."""
+
+    def note_cache(
+        self, engine: Engine, added: Sequence[int], evicted: Sequence[int]
+    ) -> None:
+        """Ignore a cache event."""
+
+    def note_draining(self, engine: Engine, draining: bool) -> None:
+        """Note that an engine takes no new work, or does again."""
+        if draining:
+            self._closed.add(engine.name)
+        else:
+            self._closed.discard(engine.name)
+            self._roles[engine.name] = engine.role
+
+    def tick(self) -> None:
+        """Look after nothing."""
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -71,7 +71,9 @@
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
     ledger = KeyLedger(ids=ids)
     client = RunnerClient(session=session)
-    dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
+    dispatcher = Dispatcher(
+        view=view, clock=clock, metrics=metrics, entry=settings.host.name
+    )
     intake = Intake(
         view=view, ids=ids, recorder=OutcomeRecorder(), clock=clock, metrics=metrics
     )
--- a/lacewinglug/entry/view.py
+++ b/lacewinglug/entry/view.py
@@ -11,12 +11,14 @@
     """The last state that the steward sent; kept while the steward is away.
 
     :param availability_zone: availability zone of this entry.
+    :param status_updates: status messages taken so far.
     """
 
     availability_zone: str
     config: ConfigView | None = None
     runners: dict[str, RunnerStatus] = field(default_factory=dict)
     hosts: dict[str, HostStatus] = field(default_factory=dict)
+    status_updates: int = 0
 
     @property
     def revision(self) -> int:
@@ -39,6 +41,7 @@
         """Take the newest load reports and host states."""
         self.runners.update({status.runner: status for status in view.runners})
         self.hosts = {status.host: status for status in view.hosts}
+        self.status_updates += 1
 
     def unavailable(self) -> set[str]:
         """Return hosts and runners that get no new work."""
--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -97,6 +97,7 @@
             request_id=request_id,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
+            priority=dispatch.priority,
             resume_from=next_index,
         )
         succeeded = False
--- /dev/null
+++ b/lacewinglug/routing/policy.py
@@ -0,0 +1,520 @@
+"""Admission and routing of one entry: typed state in, decision out."""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from lacewinglug.routing.admission import AdmissionControl, Offer
+from lacewinglug.routing.candidates import CandidateSet
+from lacewinglug.routing.choice import (
+    Placement,
+    RunnerState,
+    TransferCost,
+    choose_decode_runner,
+    choose_placement,
+)
+from lacewinglug.routing.lanes import Lane, choose_lane
+from lacewinglug.routing.ledger import RunnerLedger
+from lacewinglug.routing.migration import StreamPrognosis, is_worth_moving
+from lacewinglug.routing.prefix import PrefixHints
+from lacewinglug.routing.profile import RequestProfile
+from lacewinglug.routing.rates import EngineRates
+from lacewinglug.routing.slowness import RetryBudget, SlownessTracker
+from lacewinglug.upstream.messages import LoadReport
+
+RETRY_AFTER_S = 2.0
+AVOID_S = 2.0
+STALE_REPORT_S = 3.0
+PREFILL_WAIT_S = 0.25
+SLOT_WAIT_S = 0.5
+FIRST_TOKEN_SLACK_S = 0.2
+CALL_SLACK_S = 0.05
+_HOLD_SAMPLE_WEIGHT = 0.05
+_DEADLINE_MARGIN = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunnerFacts:
+    """What the configuration says of a runner.
+
+    :param name: name of the runner.
+    :param rates: rates by name of the engine role.
+    :param does: phases by name of the engine role.
+    :param default_role: role assumed while none is reported.
+    :param delay_s: one-way delay from this entry, in seconds.
+    :param cost_s: cost of its region by volume, expressed in seconds.
+    """
+
+    name: str
+    rates: Mapping[str, EngineRates]
+    does: Mapping[str, str]
+    default_role: str = ""
+    delay_s: float = 0.0
+    cost_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PolicySettings:
+    """Switches of the rules, for measuring each against its absence.
+
+    :param admission: refuse work of low value at a crest.
+    :param deadlines: refuse work that would finish past its deadline.
+    :param lanes: hold long work to a share of slots and to low priority.
+    :param prefixes: prefer runners that cache the prompt's prefix.
+    :param slowness: avoid runners whose own response times are long.
+    :param split: compute the prompt and generate the answer on two runners.
+    :param fair_shares: weigh organisations at a crest.
+    :param migration: move streams off runners that have become slow.
+    :param planning: plan the engine roles.
+    :param mirror: entries assumed to send as this one does between reports,
+        as a share of all entries; 0 assumes none.
+    """
+
+    admission: bool = True
+    deadlines: bool = True
+    lanes: bool = True
+    prefixes: bool = True
+    slowness: bool = True
+    split: bool = True
+    fair_shares: bool = True
+    migration: bool = True
+    planning: bool = True
+    mirror: float = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """A request that is refused at once.
+
+    :param reason: why, in words.
+    :param retry_after_s: when to try again, in seconds.
+    """
+
+    reason: str
+    retry_after_s: float = RETRY_AFTER_S
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wait:
+    """A request that waits at the entry until a runner has room for its lane."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Capacity:
+    """Runner time for each phase, in seconds a second of the best role."""
+
+    prefill: float
+    decode: float
+    best_prefill_tokens_per_s: float
+    best_decode_tokens_per_s: float
+
+
+_PHASE_SHARES = {
+    "mixed": (0.5, 0.5),
+    "prefill": (1.0, 0.0),
+    "decode": (0.1, 1.0),
+    "plain": (1.0, 1.0),
+}
+
+Decision = Placement | Refusal | Wait
+
+
+@dataclass(kw_only=True)
+class _RunnerRecord:
+    """Owns what the policy keeps of a runner."""
+
+    facts: RunnerFacts
+    ledger: RunnerLedger = field(default_factory=RunnerLedger)
+    hints: PrefixHints = field(default_factory=PrefixHints)
+    slowness: SlownessTracker = field(default_factory=SlownessTracker)
+    available: bool = True
+    avoided_until_s: float = float("-inf")
+    ordered_role: str = ""
+    hold_s: float = 0.5
+
+    @property
+    def role(self) -> str:
+        if self.ordered_role:
+            return self.ordered_role
+        report = self.ledger.report
+        reported = report.role if report else ""
+        return reported if reported in self.facts.rates else self.facts.default_role
+
+    @property
+    def slots(self) -> int:
+        report = self.ledger.report
+        if report is None or report.slots < 1 or self.ordered_role:
+            return self.facts.rates[self.role].slots
+        return report.slots
+
+    @property
+    def accepts_work(self) -> bool:
+        report = self.ledger.report
+        return self.available and (report is None or report.state == "ready")
+
+    def is_reachable(self, now_s: float) -> bool:
+        """Return whether reports are recent and no request failed lately."""
+        if now_s < self.avoided_until_s:
+            return False
+        return now_s - self.ledger.sampled_s < STALE_REPORT_S
+
+
+@dataclass(kw_only=True)
+class RoutingPolicy:
+    """Owns an entry's account of the runners of one service.
+
+    :param entry: name of the entry.
+    :param settings: rules in force.
+    :param entries: entries that serve, this one included.
+    :param transfer: cost of moving a KV cache, None when it cannot move.
+    """
+
+    entry: str
+    settings: PolicySettings = field(default_factory=PolicySettings)
+    entries: int = 1
+    transfer: TransferCost | None = None
+    retries: RetryBudget = field(default_factory=RetryBudget)
+
+    def __post_init__(self) -> None:
+        self._records: dict[str, _RunnerRecord] = {}
+        self._candidates = CandidateSet(entry=self.entry)
+        fair_shares = self.settings.fair_shares
+        self._prefill_admission = AdmissionControl(
+            target_wait_s=PREFILL_WAIT_S, fair_shares=fair_shares
+        )
+        self._slot_admission = AdmissionControl(
+            target_wait_s=SLOT_WAIT_S, fair_shares=fair_shares
+        )
+
+    def update_runners(self, facts: Sequence[RunnerFacts]) -> None:
+        """Take the runners of the service from the configuration."""
+        known = self._records
+        self._records = {}
+        for item in facts:
+            record = known.get(item.name)
+            if record is None:
+                record = _RunnerRecord(facts=item)
+            record.facts = item
+            self._records[item.name] = record
+        self._candidates.update(tuple(self._records))
+
+    def set_unavailable(self, names: Collection[str]) -> None:
+        """Take the runners that get no new work."""
+        for name, record in self._records.items():
+            record.available = name not in names
+
+    def note_report(self, runner: str, report: LoadReport, *, sampled_s: float) -> None:
+        """Take a load report.
+
+        :param sampled_s: time when the report was true, in seconds.
+        """
+        record = self._records.get(runner)
+        if record is None:
+            return
+        before = record.role
+        record.ledger.note_report(report, sampled_s)
+        if report.role == record.ordered_role:
+            record.ordered_role = ""
+        if record.role != before:
+            record.hints.clear()
+
+    def note_cache(
+        self, runner: str, *, added: Sequence[int] = (), evicted: Sequence[int] = ()
+    ) -> None:
+        """Take a cache event of a runner as a hint."""
+        record = self._records.get(runner)
+        if record is not None:
+            record.hints.add(added)
+            record.hints.discard(evicted)
+
+    def decide(
+        self,
+        profile: RequestProfile,
+        *,
+        now_s: float,
+        organisation_weight: float = 1.0,
+        excluded: Collection[str] = (),
+        admitted: bool = False,
+    ) -> Decision:
+        """Place a request, refuse it, or let it wait for room.
+
+        :param profile: the request.
+        :param now_s: time, in seconds.
+        :param organisation_weight: share of its organisation.
+        :param excluded: runners that failed at this request already.
+        :param admitted: whether it was admitted before.
+        """
+        lane = self._lane(profile)
+        states = self._states(profile, now_s, excluded)
+        if not states:
+            return Refusal(reason="no runner accepts work")
+        transfer = self.transfer if self.settings.split else None
+        placement = choose_placement(profile, lane, states, transfer=transfer)
+        if placement is None:
+            return Wait()
+        if self.settings.deadlines and self._misses_deadline(profile, placement, now_s):
+            return Refusal(reason="the answer would come after the deadline")
+        is_new = self.settings.admission and not admitted
+        if is_new and not self._admit(profile, placement, organisation_weight, now_s):
+            return Refusal(reason="the runners are full with work of more value")
+        return placement
+
+    def choose_target(
+        self, profile: RequestProfile, *, now_s: float, excluded: Collection[str]
+    ) -> str | None:
+        """Return the runner on which a moved stream goes on, None for none."""
+        states = self._states(profile, now_s, excluded)
+        target = choose_decode_runner(profile, states)
+        return target.name if target else None
+
+    def note_sent(
+        self, runner: str, *, lane: Lane, prefill_tokens: int, now_s: float
+    ) -> None:
+        """Note that a request was sent to a runner."""
+        if runner in self._records:
+            self._records[runner].ledger.note(
+                now_s,
+                in_flight=1,
+                low_priority=int(lane is Lane.LONG),
+                prefill_tokens=prefill_tokens,
+            )
+
+    def note_computed(self, runner: str, *, prefill_tokens: int, now_s: float) -> None:
+        """Note that a runner has computed prompt tokens."""
+        if runner in self._records:
+            self._records[runner].ledger.note(now_s, prefill_tokens=-prefill_tokens)
+
+    def note_closed(
+        self,
+        runner: str,
+        *,
+        lane: Lane,
+        held_s: float,
+        now_s: float,
+        succeeded: bool = True,
+    ) -> None:
+        """Note that a runner no longer works on a request.
+
+        :param held_s: time since it was sent there, in seconds.
+        :param succeeded: whether it was answered.
+        """
+        record = self._records.get(runner)
+        if record is None:
+            return
+        record.ledger.note(now_s, in_flight=-1, low_priority=-int(lane is Lane.LONG))
+        if not succeeded:
+            return
+        expected_s = min(item.hold_s for item in self._records.values())
+        if record.facts.does[record.role] == "plain":
+            record.slowness.note(
+                observed_s=held_s, expected_s=expected_s + CALL_SLACK_S, now_s=now_s
+            )
+        record.hold_s += _HOLD_SAMPLE_WEIGHT * (held_s - record.hold_s)
+
+    def note_prefix(self, runner: str, hashes: Sequence[int]) -> None:
+        """Note that a runner was sent a prompt with these pieces."""
+        if runner in self._records:
+            self._records[runner].hints.add(hashes)
+
+    def note_role(self, runner: str, role: str) -> None:
+        """Note a role in force that no report says yet."""
+        record = self._records.get(runner)
+        if record is not None and role in record.facts.rates:
+            record.ordered_role = role
+            record.hints.clear()
+
+    def note_failed(self, runner: str, *, now_s: float) -> None:
+        """Note that a runner lost or refused a request."""
+        record = self._records.get(runner)
+        if record is not None:
+            record.avoided_until_s = now_s + AVOID_S
+
+    def note_first_token(
+        self, runner: str, *, observed_s: float, expected_s: float, now_s: float
+    ) -> None:
+        """Note the time to a first token beside the predicted one."""
+        record = self._records.get(runner)
+        if record is not None:
+            record.slowness.note(
+                observed_s=observed_s,
+                expected_s=expected_s + FIRST_TOKEN_SLACK_S,
+                now_s=now_s,
+            )
+
+    def plan_move(
+        self,
+        profile: RequestProfile,
+        *,
+        runner: str,
+        computed: bool,
+        remaining_tokens: int,
+        now_s: float,
+    ) -> str | None:
+        """Return the runner on which a request ends clearly sooner, None for none.
+
+        :param runner: where it runs.
+        :param computed: whether the first token has arrived.
+        :param remaining_tokens: tokens still to come.
+        """
+        states = self._states(profile, now_s, ())
+        here = next((item for item in states if item.name == runner), None)
+        others = [item for item in states if item.name != runner]
+        if here is None or not others:
+            return None
+        if computed:
+            there = choose_decode_runner(profile, others)
+        else:
+            placement = choose_placement(profile, self._lane(profile), others)
+            there = placement.runner if placement else None
+        if there is None:
+            return None
+        prognosis = StreamPrognosis(
+            here_s=_remaining_s(profile, here, computed, remaining_tokens),
+            there_s=_remaining_s(profile, there, computed, remaining_tokens),
+            move_s=self._move_s(profile, computed),
+        )
+        return there.name if is_worth_moving(prognosis) else None
+
+    def _move_s(self, profile: RequestProfile, computed: bool) -> float:
+        if not computed or self.transfer is None:
+            return 0.0
+        return self.transfer.transfer_s(profile.prompt_tokens)
+
+    def note_interval(self, runner: str, *, interval_s: float, now_s: float) -> None:
+        """Note the time between two tokens of a stream."""
+        record = self._records.get(runner)
+        if record is None:
+            return
+        expected_s = self.expected_interval_s(runner)
+        record.slowness.note(observed_s=interval_s, expected_s=expected_s, now_s=now_s)
+
+    def expected_interval_s(self, runner: str) -> float:
+        """Return the token interval of a healthy runner at its load, in seconds."""
+        record = self._records[runner]
+        rates = record.facts.rates[record.role]
+        return rates.token_interval_s(record.ledger.estimate().in_flight)
+
+    def slowness_of(self, runner: str, now_s: float) -> float:
+        """Return how many times slower than its rates a runner is."""
+        return self._records[runner].slowness.current(now_s)
+
+    def _lane(self, profile: RequestProfile) -> Lane:
+        if not self.settings.lanes:
+            return Lane.SHORT
+        return choose_lane(
+            prompt_tokens=profile.prompt_tokens, output_tokens=profile.output_tokens
+        )
+
+    def _states(
+        self, profile: RequestProfile, now_s: float, excluded: Collection[str]
+    ) -> list[RunnerState]:
+        """Return the state of the candidates that accept work."""
+        affinity = profile.organisation
+        mirror = max(1.0, self.settings.mirror * self.entries)
+        usable = [
+            record
+            for name in self._candidates.pick(affinity)
+            if (record := self._records[name]).accepts_work and name not in excluded
+        ]
+        reachable = [record for record in usable if record.is_reachable(now_s)]
+        return [
+            self._state(record, profile, now_s, mirror)
+            for record in reachable or usable
+        ]
+
+    def _state(
+        self,
+        record: _RunnerRecord,
+        profile: RequestProfile,
+        now_s: float,
+        mirror: float,
+    ) -> RunnerState:
+        role = record.role
+        facts = record.facts
+        load = record.ledger.estimate(mirror=mirror)
+        settings = self.settings
+        return RunnerState(
+            name=facts.name,
+            rates=facts.rates[role],
+            does=facts.does[role],
+            slots=record.slots,
+            in_flight=load.in_flight,
+            low_priority=load.low_priority,
+            prefill_tokens=load.prefill_tokens,
+            cached_pieces=(
+                record.hints.matched(profile.prefix_hashes) if settings.prefixes else 0
+            ),
+            slowness=record.slowness.current(now_s) if settings.slowness else 1.0,
+            hold_s=record.hold_s,
+            delay_s=facts.delay_s,
+            cost_s=facts.cost_s,
+        )
+
+    def _misses_deadline(
+        self, profile: RequestProfile, placement: Placement, now_s: float
+    ) -> bool:
+        predicted_s = now_s + _DEADLINE_MARGIN * placement.finish_s
+        return predicted_s > profile.deadline_s
+
+    def _admit(
+        self,
+        profile: RequestProfile,
+        placement: Placement,
+        organisation_weight: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether a request is worth the runners' time in both phases."""
+        capacity = self._capacity(now_s)
+        prefill = Offer(
+            organisation=profile.organisation,
+            organisation_weight=organisation_weight,
+            value=profile.weight,
+            work_s=placement.prefill_tokens / capacity.best_prefill_tokens_per_s,
+            wait_s=placement.prefill_wait_s,
+        )
+        slot = Offer(
+            organisation=profile.organisation,
+            organisation_weight=organisation_weight,
+            value=profile.weight,
+            work_s=profile.output_tokens / capacity.best_decode_tokens_per_s,
+            wait_s=placement.slot_wait_s,
+        )
+        share = 1.0 / self.entries
+        return self._prefill_admission.admit(
+            prefill, capacity=capacity.prefill * share, now_s=now_s
+        ) and self._slot_admission.admit(
+            slot, capacity=capacity.decode * share, now_s=now_s
+        )
+
+    def _capacity(self, now_s: float) -> _Capacity:
+        """Return the runner time for each phase, in seconds a second."""
+        records = [item for item in self._records.values() if item.accepts_work]
+        roles = [item.facts.rates[item.role] for item in records]
+        best_prefill = max(item.prefill_tokens_per_s for item in roles)
+        best_decode = max(item.decode_tokens_per_s for item in roles)
+        prefill = 0.0
+        decode = 0.0
+        for record, rates in zip(records, roles, strict=True):
+            speed = 1.0 / record.slowness.current(now_s)
+            does = record.facts.does[record.role]
+            shares = _PHASE_SHARES[does]
+            prefill += speed * shares[0] * rates.prefill_tokens_per_s / best_prefill
+            decode += speed * shares[1] * rates.decode_tokens_per_s / best_decode
+        return _Capacity(
+            prefill=prefill,
+            decode=decode,
+            best_prefill_tokens_per_s=best_prefill,
+            best_decode_tokens_per_s=best_decode,
+        )
+
+
+def _remaining_s(
+    profile: RequestProfile, state: RunnerState, computed: bool, tokens: int
+) -> float:
+    """Predict the time to the end of a request on a runner, in seconds."""
+    rates = state.rates
+    remaining_s = tokens * rates.token_interval_s(state.in_flight) * state.slowness
+    if not computed:
+        missing = profile.missing_tokens(state.cached_pieces)
+        rate = rates.shared_prefill_tokens_per_s(state.in_flight) / state.slowness
+        remaining_s += (missing + state.prefill_tokens) / rate
+    return remaining_s
--- a/lacewinglug/routing/profile.py
+++ b/lacewinglug/routing/profile.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from lacewinglug.routing.prefix import PIECE_TOKENS
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestProfile:
@@ -29,3 +31,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     prefix_hashes: tuple[int, ...] = field(default=())
+
+    def missing_tokens(self, cached_pieces: int) -> int:
+        """Return the prompt tokens to compute beside cached leading pieces."""
+        return max(1, self.prompt_tokens - cached_pieces * PIECE_TOKENS)
--- /dev/null
+++ b/lacewinglug/routing/slowness.py
@@ -0,0 +1,68 @@
+"""Sees from own response times that a runner is slow, before its reports do."""
+
+import math
+from dataclasses import dataclass
+
+TOLERATED_RATIO = 1.8
+_SAMPLE_WEIGHT = 0.4
+_FORGET_S = 4.0
+_MAX_RATIO = 20.0
+_STALLED_INTERVALS = 8.0
+
+
+@dataclass(kw_only=True, slots=True)
+class SlownessTracker:
+    """Owns the smoothed ratio of observed to expected time of a runner.
+
+    :param ratio: smoothed ratio at ``observed_s``, 1 for a healthy runner.
+    :param observed_s: time of the last observation, in seconds.
+    """
+
+    ratio: float = 1.0
+    observed_s: float = float("-inf")
+
+    def note(self, *, observed_s: float, expected_s: float, now_s: float) -> None:
+        """Note one response time beside the one that was predicted."""
+        sample = min(_MAX_RATIO, observed_s / max(expected_s, 1e-6))
+        ratio = self._faded(now_s)
+        self.ratio = ratio + _SAMPLE_WEIGHT * (sample - ratio)
+        self.observed_s = now_s
+
+    def current(self, now_s: float) -> float:
+        """Return how many times slower the runner is; old evidence fades."""
+        ratio = self._faded(now_s)
+        return ratio if ratio > TOLERATED_RATIO else 1.0
+
+    def _faded(self, now_s: float) -> float:
+        age_s = now_s - self.observed_s
+        return 1.0 + (self.ratio - 1.0) * math.exp(-age_s / _FORGET_S)
+
+
+def is_stalled(*, silent_s: float, expected_s: float) -> bool:
+    """Return whether a stream has been silent for too many token intervals."""
+    return silent_s > _STALLED_INTERVALS * expected_s
+
+
+@dataclass(kw_only=True, slots=True)
+class RetryBudget:
+    """Owns the tokens that bound hedges and retries to a share of requests.
+
+    :param ratio: tokens earned by each first attempt.
+    :param capacity: most tokens kept.
+    :param tokens: tokens left.
+    """
+
+    ratio: float = 0.05
+    capacity: float = 10.0
+    tokens: float = 10.0
+
+    def note_request(self) -> None:
+        """Earn a share of a token for a first attempt."""
+        self.tokens = min(self.capacity, self.tokens + self.ratio)
+
+    def try_spend(self) -> bool:
+        """Spend a token; return whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- a/lacewinglug/upstream/messages.py
+++ b/lacewinglug/upstream/messages.py
@@ -15,6 +15,9 @@
     :param cached_pieces: pieces in the prefix cache.
     :param fencing_number: highest fencing number seen.
     :param version: version of the weights in force.
+    :param low_priority: requests in progress or queued at low priority.
+    :param prefill_tokens_total: prompt tokens computed since the start.
+    :param output_tokens_total: tokens generated since the start.
     """
 
     role: str = ""
@@ -26,6 +29,9 @@
     cached_pieces: int = 0
     fencing_number: int = -1
     version: str = ""
+    low_priority: int = 0
+    prefill_tokens_total: int = 0
+    output_tokens_total: int = 0
 
 
 class GenerateRequest(msgspec.Struct, frozen=True, kw_only=True):
