--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -81,7 +81,8 @@
             admitted=again,
         )
         if not again:
-            missing = job.profile.prompt_tokens
+            pieces = len(job.profile.prefix_hashes)
+            missing = job.profile.missing_tokens(pieces)
             if isinstance(decision, Placement):
                 missing = job.profile.missing_tokens(decision.runner.cached_pieces)
             self.offered_prefill += missing
--- a/bench/policy/planners.py
+++ b/bench/policy/planners.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from bench.policy.simulation import Simulation
-from lacewinglug.roles.demand import DemandTracker
+from lacewinglug.roles.demand import SETTLED_SMOOTHING_S, DemandTracker
 from lacewinglug.roles.planner import (
     Demand,
     PlannedRole,
@@ -26,11 +26,13 @@
 
     def __post_init__(self) -> None:
         self._tracker = DemandTracker()
+        self._settled = DemandTracker(smoothing_s=SETTLED_SMOOTHING_S)
 
     def __call__(self) -> None:
         """Order the next change that pays for itself."""
         simulation = self.simulation
         demand = _track(self._tracker, simulation)
+        settled = _track(self._settled, simulation)
         if demand is None or simulation.changing is not None:
             return
         roles = {
@@ -38,7 +40,7 @@
             for name, rates in simulation.site.roles.items()
         }
         runners = _runners(simulation)
-        match plan_change(runners, roles, demand):
+        match plan_change(runners, roles, demand, settled):
             case RoleChange(runner=runner, role=role):
                 simulation.order_role(simulation.by_name[runner], role)
 
--- a/bench/policy/workload.py
+++ b/bench/policy/workload.py
@@ -104,6 +104,18 @@
     return {name: count * scale for name, count in counts.items()}
 
 
+def _same_work(
+    counts: dict[str, float], rates: Rates, kinds: Sequence[str]
+) -> dict[str, float]:
+    """Return arrivals of fewer kinds with the same work, shared evenly."""
+    work_s = {
+        name: rates.best_work_s(kind.missing_tokens, kind.output_tokens)
+        for name, kind in KINDS.items()
+    }
+    total_s = sum(count * work_s[name] for name, count in counts.items())
+    return {name: total_s / len(kinds) / work_s[name] for name in kinds}
+
+
 def _prefill_share(counts: dict[str, float], rates: Rates) -> float:
     """Return the share of prefill in the work of engines of mixed role."""
     mixed = rates.roles["mixed"]
@@ -140,8 +152,12 @@
     rates: Rates,
     engines: int,
     long_jobs: LongJobs | None = None,
+    kinds: Sequence[str] = tuple(KINDS),
 ) -> list[Job]:
-    """Return the arrivals of a run in the order of time."""
+    """Return the arrivals of a run in the order of time.
+
+    :param kinds: kinds that arrive.
+    """
     rng = random.Random(seed)
     mean_factor = 1.0
     if long_jobs is not None:
@@ -150,6 +166,8 @@
     for index, phase in enumerate(phases):
         end_s = phases[index + 1].start_s if index + 1 < len(phases) else duration_s
         counts = kind_rates(phase, rates, engines=engines, long_factor=mean_factor)
+        if tuple(kinds) != tuple(KINDS):
+            counts = _same_work(counts, rates, kinds)
         names = list(counts)
         weights = list(counts.values())
         total = sum(weights)
@@ -180,6 +198,7 @@
     timeout_s = kind.timeout_s
     if is_long and long_jobs is not None:
         output_tokens = int(output_tokens * long_jobs.factor)
+        prompt_tokens = int(prompt_tokens * long_jobs.factor)
         timeout_s = long_jobs.timeout_s
     profile = RequestProfile(
         request_id=str(number),
--- a/lacewinglug/roles/demand.py
+++ b/lacewinglug/roles/demand.py
@@ -5,6 +5,8 @@
 
 from lacewinglug.roles.planner import Demand
 
+SMOOTHING_S = 3.0
+SETTLED_SMOOTHING_S = 30.0
 MIN_FILLED = 0.7
 
 
@@ -15,7 +17,7 @@
     :param smoothing_s: time constant of the smoothing, in seconds.
     """
 
-    smoothing_s: float = 6.0
+    smoothing_s: float = SMOOTHING_S
     _prefill_tokens: float = 0.0
     _output_tokens: float = 0.0
     _updated_s: float | None = None
--- a/lacewinglug/roles/planner.py
+++ b/lacewinglug/roles/planner.py
@@ -8,10 +8,13 @@
 from lacewinglug.routing.rates import EngineRates
 
 HORIZON_S = 40.0
-MIN_GAIN_S = 8.0
+MIN_GAIN_S = 16.0
+URGENT_GAIN_S = 40.0
 MAX_DEMAND_AGE_S = 5.0
 HEADROOM = 0.95
 DRAIN_S = 1.0
+MIXED = "mixed"
+MIXED_EXTRA = 2.0
 _MAX_CHANGES_AHEAD = 3
 _BISECTIONS = 14
 
@@ -88,13 +91,19 @@
     runners: Sequence[PlannedRunner],
     roles: Mapping[str, PlannedRole],
     demand: Demand,
+    settled: Demand | None = None,
 ) -> RoleChange | Hold:
     """Return the next change of role that pays for itself, or hold.
 
+    A small gain must show in the settled demand too, so that noise of the last
+    seconds changes nothing; an urgent one need not wait for it.
+
     :param runners: engines of the service.
     :param roles: roles that the service allows, by name.
-    :param demand: demand of the service.
+    :param demand: demand of the last seconds.
+    :param settled: demand over a longer time, the same when not given.
     """
+    settled = settled or demand
     if demand.age_s > MAX_DEMAND_AGE_S:
         return Hold(reason="the figures of demand are too old")
     if any(runner.changing for runner in runners):
@@ -105,9 +114,14 @@
     target = current
     for assignment, changes in _reachable(current, tuple(roles)):
         gain_s = _gain_s(current, assignment, changes, roles, demand)
-        if gain_s > best_gain_s:
-            best_gain_s = gain_s
-            target = assignment
+        if gain_s <= best_gain_s:
+            continue
+        if gain_s < URGENT_GAIN_S:
+            settled_s = _gain_s(current, assignment, changes, roles, settled)
+            if settled_s <= MIN_GAIN_S:
+                continue
+        best_gain_s = gain_s
+        target = assignment
     if target == current:
         return best
     return _first_step(runners, current, target, best_gain_s) or best
@@ -188,7 +202,9 @@
     after = _value(served_ratio(assignment, roles, demand))
     engines = current.total()
     change_s = max(roles[role].change_s for role in roles) + DRAIN_S
-    return engines * (after - before) * HORIZON_S - changes * change_s
+    gained_s = engines * (after - before) * HORIZON_S
+    into_mixed = max(0, assignment[MIXED] - current[MIXED])
+    return gained_s - (changes + MIXED_EXTRA * into_mixed) * change_s
 
 
 def _value(ratio: float) -> float:
