--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -164,6 +164,7 @@
             request_id=self.sequence.request_id,
             prompt=self.body.prompt,
             max_tokens=self.body.max_tokens,
+            priority=dispatch.priority,
             resume_from=self.sequence.next_index,
         )
         lines = self.relay.client.generate(dispatch.url, message)
