--- a/lacewinglug/control.py
+++ b/lacewinglug/control.py
@@ -8,7 +8,7 @@
 from lacewinglug.upstream.messages import LoadReport
 
 
-class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     pass
 
 
@@ -110,7 +110,7 @@
     leaving_upstreams: tuple[str, ...]
 
 
-class PeerHeartbeat(_Message, frozen=True, kw_only=True, tag="h"):
+class PeerHeartbeat(_Message, frozen=True, kw_only=True):
     """Heartbeat between stewards.
 
     :param host: name of the sender's host.
--- a/lacewinglug/membership/neighbours.py
+++ b/lacewinglug/membership/neighbours.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 import xxhash
 
 MONITOR_COUNT = 3
-_SPARE_MONITORS = 16
+_CANDIDATE_COUNT = 20
 
 
 def rank_hosts(key: str, hosts: Iterable[str]) -> list[str]:
@@ -18,6 +19,12 @@
     return xxhash.xxh3_64_intdigest(f"{key}/{host}".encode())
 
 
+@lru_cache(maxsize=1024)
+def _candidates(target: str, hosts: frozenset[str]) -> tuple[str, ...]:
+    """Return the first hosts of a target's order, which may watch it."""
+    return tuple(rank_hosts(target, hosts - {target})[:_CANDIDATE_COUNT])
+
+
 @dataclass(kw_only=True)
 class MonitorPlan:
     """Tells a host which others it watches.
@@ -30,8 +37,7 @@
 
     host: str
     _hosts: frozenset[str] = frozenset()
-    _ahead: dict[str, list[str]] = field(default_factory=dict)
-    _order: dict[str, list[str]] = field(default_factory=dict)
+    _ahead: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def set_hosts(self, hosts: Collection[str]) -> None:
         """Take the hosts of the configuration."""
@@ -40,19 +46,10 @@
             return
         self._hosts = names
         self._ahead = {}
-        self._order = {}
-        for target in names - {self.host}:
-            self._place(target)
-
-    def _place(self, target: str) -> None:
-        """Note the hosts that come before this one in a target's order."""
-        own = _score(target, self.host)
-        scores = [(_score(target, name), name) for name in self._hosts - {target}]
-        ahead = sorted(item for item in scores if item[0] < own)
-        if len(ahead) < MONITOR_COUNT + _SPARE_MONITORS:
-            self._ahead[target] = [name for _, name in ahead]
-            first = sorted(scores)[: MONITOR_COUNT + _SPARE_MONITORS]
-            self._order[target] = [name for _, name in first]
+        for target in sorted(names - {self.host}):
+            order = _candidates(target, names)
+            if self.host in order:
+                self._ahead[target] = order[: order.index(self.host)]
 
     def targets(self, live: Collection[str]) -> list[str]:
         """Return the hosts that this host watches.
@@ -67,6 +64,6 @@
 
     def other_monitors(self, target: str, live: Collection[str]) -> list[str]:
         """Return live hosts that can confirm the silence of a target."""
-        order = self._order.get(target, [])
+        order = _candidates(target, self._hosts)
         names = [name for name in order if name in live and name != self.host]
         return names[:MONITOR_COUNT]
--- a/lacewinglug/membership/table.py
+++ b/lacewinglug/membership/table.py
@@ -8,7 +8,7 @@
 from lacewinglug.control import HostStatus
 
 MAX_CHANGES = 24
-REFRESH_COUNT = 2
+REFRESH_COUNT = 1
 _STATE_RANKS = {"live": 0, "suspect": 1, "leaving": 2}
 
 
@@ -87,10 +87,11 @@
         self.statuses[status.host] = status
         self._mark_pending(status.host)
         self._pending.get(source, {}).pop(status.host, None)
-        return (
-            known is None
-            or known.state != status.state
-            or known.leaving_upstreams != status.leaving_upstreams
+        if known is None:
+            return bool(status.leaving_upstreams)
+        return (known.state, known.leaving_upstreams) != (
+            status.state,
+            status.leaving_upstreams,
         )
 
     def _refute(self, status: HostStatus) -> bool:
--- a/lacewinglug/steward/peers.py
+++ b/lacewinglug/steward/peers.py
@@ -28,6 +28,7 @@
 HEARTBEAT_INTERVAL_S = 1.0
 _ASK_AFTER_S = 1.0
 _HAND_ON_BYTES = 16 * 1024
+_SPREAD_INTERVAL_S = 0.1
 _PROBE_MEMORY_S = 5.0
 _NEIGHBOUR_MEMORY_S = 10.0
 
@@ -66,6 +67,8 @@
     _pingers: dict[str, float] = field(default_factory=dict)
     _probes: dict[str, dict[str, float]] = field(default_factory=dict)
     _behind_since_s: float | None = None
+    _spread_at_s: float = float("-inf")
+    _spread_due: bool = False
 
     def __post_init__(self) -> None:
         self.table = HostTable(host=self.host)
@@ -82,12 +85,12 @@
                 case AskOthers(host=host):
                     actions.extend(self._ask_others(host))
                 case Suspect(host=host):
-                    self.table.suspect(host)
+                    self._spread_due |= self.table.suspect(host)
         actions.extend(
             Send(host=target, message=self._heartbeat(target, wants_reply=True))
             for target in self.detector.watches
         )
-        return actions
+        return [*actions, *self.spread(now_s=now_s)]
 
     def _follow_config(self, now_s: float) -> None:
         """Choose the hosts to watch from the configuration in force."""
@@ -104,8 +107,16 @@
         }
         self.table.set_neighbours({*targets, *self._pingers})
 
-    def spread(self) -> list[PeerAction]:
-        """Return heartbeats that carry an urgent change to every neighbour."""
+    def spread(self, *, now_s: float, urgent: bool = False) -> list[PeerAction]:
+        """Return heartbeats that carry urgent changes to every neighbour.
+
+        Changes that follow one another closely are carried together.
+        """
+        self._spread_due |= urgent
+        if not self._spread_due or now_s - self._spread_at_s < _SPREAD_INTERVAL_S:
+            return []
+        self._spread_due = False
+        self._spread_at_s = now_s
         return [
             Send(host=name, message=self._heartbeat(name, wants_reply=False))
             for name in {**self.detector.watches, **self._pingers}
@@ -170,8 +181,7 @@
             self.table.add_neighbour(source)
             reply = self._heartbeat(source, wants_reply=False)
             actions.append(Send(host=source, message=reply))
-        if urgent:
-            actions.extend(self.spread())
+        actions.extend(self.spread(now_s=now_s, urgent=urgent))
         actions.extend(self._ask_records(source, message.next_offset, now_s))
         for asker, at_s in self._probes.pop(source, {}).items():
             if now_s - at_s < _PROBE_MEMORY_S:
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -203,8 +203,8 @@
             state="suspect" if silent else "leaving" if hello.leaving else "live",
             leaving_upstreams=self._leaving_upstreams(),
         )
-        if urgent:
-            await self._perform(self.exchange.spread())
+        now_s = self.clock.now_s()
+        await self._perform(self.exchange.spread(now_s=now_s, urgent=urgent))
 
     def _leaving_upstreams(self) -> tuple[str, ...]:
         """Return what the host list and the runners' own reports say is leaving."""
