Replace silent connections between stewards, and prove it with processes

Found by the relay test: a connection that went silent in one direction was never replaced while its far end still sent heartbeats on a connection of its own, and the answers to those went out on the silent one, so that the far end came to suspect a live host. An answer now goes back on the connection that asked, and a connection is judged by its own answers, apart from the life of its host.

Found by letting the log restart empty: a steward that started on the new log applied records of the old one that peers handed on. Records are now handed on with the digest of the record before them and refused when that differs.

Real processes: a publisher killed before and after its append, two operators on one base, a paused steward, a host started while the log is down, a log that restarts empty.

--- a/lacewinglug/control.py
+++ b/lacewinglug/control.py
@@ -1,5 +1,7 @@
 """Messages between stewards, and between a steward and its local entry."""
 
+from typing import Literal
+
 import msgspec
 
 from lacewinglug.authority.state import ControlState, Tenure
@@ -116,13 +118,14 @@
     :param host: name of the sender's host.
     :param next_offset: offset up to which the sender replayed the log.
     :param changes: statuses that the receiver may lack.
-    :param wants_reply: whether the receiver answers with a heartbeat.
+    :param purpose: a probe is answered by a reply on the same connection; a
+        change is not answered.
     """
 
     host: str
     next_offset: int
     changes: list[StatusChange]
-    wants_reply: bool
+    purpose: Literal["probe", "reply", "change"]
 
 
 class ProbeRequest(_Message, frozen=True, kw_only=True):
@@ -159,9 +162,11 @@
 class PeerRecords(_Message, frozen=True, kw_only=True):
     """Records of the log, handed on.
 
+    :param previous_digest: digest of the record before them.
     :param records: consecutive records.
     """
 
+    previous_digest: str
     records: list[StoredRecord]
 
 
--- a/lacewinglug/steward/peers.py
+++ b/lacewinglug/steward/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Literal
 
 from lacewinglug.control import (
     PeerHeartbeat,
@@ -23,7 +24,9 @@
 from lacewinglug.membership.neighbours import MonitorPlan
 from lacewinglug.membership.table import HostTable
 from lacewinglug.platform.log import StoredRecord
-from lacewinglug.steward.replica import Replica
+from lacewinglug.steward.replica import RecordBatch, Replica
+
+Purpose = Literal["probe", "reply", "change"]
 
 HEARTBEAT_INTERVAL_S = 1.0
 _ASK_AFTER_S = 1.0
@@ -35,10 +38,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Send:
-    """A message to the steward of a host."""
+    """A message to the steward of a host.
+
+    :param host: name of the host.
+    :param message: the message.
+    :param is_reply: whether it goes back on the connection that the host opened.
+    """
 
     host: str
     message: PeerMessage
+    is_reply: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,7 +96,7 @@
                 case Suspect(host=host):
                     self._spread_due |= self.table.suspect(host)
         actions.extend(
-            Send(host=target, message=self._heartbeat(target, wants_reply=True))
+            Send(host=target, message=self._heartbeat(target, "probe"))
             for target in self.detector.watches
         )
         return [*actions, *self.spread(now_s=now_s)]
@@ -118,7 +127,7 @@
         self._spread_due = False
         self._spread_at_s = now_s
         return [
-            Send(host=name, message=self._heartbeat(name, wants_reply=False))
+            Send(host=name, message=self._heartbeat(name, "change"))
             for name in {**self.detector.watches, **self._pingers}
         ]
 
@@ -129,11 +138,14 @@
 
         Large ones are not handed on unasked, since most peers read the log.
         """
+        if not records:
+            return []
         if sum(len(record.data) for record in records) > _HAND_ON_BYTES:
             return []
-        if not records:
+        batch = self.replica.batch_from(records[0].offset)
+        if batch is None:
             return []
-        message = PeerRecords(records=list(records))
+        message = _pack_batch(batch)
         return [
             Send(host=name, message=message)
             for name in {**self.detector.watches, **self._pingers}
@@ -152,15 +164,16 @@
                 return self._handle_heartbeat(message, now_s)
             case ProbeRequest(host=host, target=target):
                 self._probes.setdefault(target, {})[host] = now_s
-                heartbeat = self._heartbeat(target, wants_reply=True)
+                heartbeat = self._heartbeat(target, "probe")
                 return [Send(host=target, message=heartbeat)]
             case ProbeReply(target=target):
                 self.detector.note_alive(target, now_s=now_s)
                 return []
             case RecordsWanted(host=host, from_offset=offset):
                 return self._answer_wanted(host, offset)
-            case PeerRecords(records=records):
-                fresh = self.replica.apply(records)
+            case PeerRecords(previous_digest=digest, records=records):
+                batch = RecordBatch(previous_digest=digest, records=records)
+                fresh = self.replica.apply_batch(batch)
                 self._behind_since_s = None
                 return self.hand_on(fresh, source=source)
             case PeerState(state=state):
@@ -172,15 +185,17 @@
     ) -> list[PeerAction]:
         source = message.host
         self.detector.note_alive(source, now_s=now_s)
+        if message.purpose == "reply":
+            self.detector.note_answer(source, now_s=now_s)
         urgent = False
         for change in message.changes:
             urgent |= self.table.merge(unpack_status(change), source=source)
         actions: list[PeerAction] = []
-        if message.wants_reply:
+        if message.purpose == "probe":
             self._pingers[source] = now_s
             self.table.add_neighbour(source)
-            reply = self._heartbeat(source, wants_reply=False)
-            actions.append(Send(host=source, message=reply))
+            reply = self._heartbeat(source, "reply")
+            actions.append(Send(host=source, message=reply, is_reply=True))
         actions.extend(self.spread(now_s=now_s, urgent=urgent))
         actions.extend(self._ask_records(source, message.next_offset, now_s))
         for asker, at_s in self._probes.pop(source, {}).items():
@@ -207,21 +222,25 @@
         state = self.replica.state
         if offset >= state.next_offset or state.halted:
             return []
-        records = self.replica.records_from(offset)
-        if records is None:
+        batch = self.replica.batch_from(offset)
+        if batch is None:
             return [Send(host=host, message=PeerState(state=state))]
-        return [Send(host=host, message=PeerRecords(records=records))]
+        return [Send(host=host, message=_pack_batch(batch))]
 
     def _ask_others(self, target: str) -> list[PeerAction]:
         request = ProbeRequest(host=self.host, target=target)
         helpers = self.plan.other_monitors(target, self.table.live())
         return [Send(host=name, message=request) for name in helpers]
 
-    def _heartbeat(self, neighbour: str, *, wants_reply: bool) -> PeerHeartbeat:
+    def _heartbeat(self, neighbour: str, purpose: Purpose) -> PeerHeartbeat:
         changes = self.table.take_changes(neighbour)
         return PeerHeartbeat(
             host=self.host,
             next_offset=self.replica.state.next_offset,
             changes=[pack_status(status) for status in changes],
-            wants_reply=wants_reply,
+            purpose=purpose,
         )
+
+
+def _pack_batch(batch: RecordBatch) -> PeerRecords:
+    return PeerRecords(previous_digest=batch.previous_digest, records=batch.records)
--- a/lacewinglug/steward/replica.py
+++ b/lacewinglug/steward/replica.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from lacewinglug.authority.replay import adopt_state, replay_record
+from lacewinglug.authority.replay import adopt_state, digest_record, replay_record
 from lacewinglug.authority.state import ControlState
 from lacewinglug.platform.log import StoredRecord
 
@@ -13,17 +13,40 @@
 BATCH_BYTES = 128 * 1024
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordBatch:
+    """Consecutive records of the log, to be handed on.
+
+    :param previous_digest: digest of the record before them.
+    :param records: the records.
+    """
+
+    previous_digest: str
+    records: list[StoredRecord]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KeptRecord:
+    """A record and the digest of the one before it."""
+
+    previous_digest: str
+    record: StoredRecord
+
+
 @dataclass(kw_only=True)
 class Replica:
     """Owns the replayed state, whoever hands the records in.
 
     :param state: the state.
     :param listeners: called after the state changed.
+    :param conflicts: number of batches from peers that follow another record than
+        the last one here.
     """
 
     state: ControlState
     listeners: list[Callable[[], None]] = field(default_factory=list)
-    _recent: deque[StoredRecord] = field(default_factory=deque)
+    conflicts: int = 0
+    _recent: deque[_KeptRecord] = field(default_factory=deque)
     _recent_bytes: int = 0
 
     def apply(self, records: Sequence[StoredRecord]) -> list[StoredRecord]:
@@ -31,13 +54,34 @@
 
         Records from before the state are ignored, and so are those after a gap.
         """
-        fresh = [record for record in records if replay_record(self.state, record)]
-        for record in fresh:
-            self._remember(record)
+        fresh = []
+        for record in records:
+            previous_digest = self.state.last_digest
+            if replay_record(self.state, record):
+                fresh.append(record)
+                self._remember(
+                    _KeptRecord(previous_digest=previous_digest, record=record)
+                )
         if fresh or self.state.halted:
             self._notify()
         return fresh
 
+    def apply_batch(self, batch: RecordBatch) -> list[StoredRecord]:
+        """Replay records that a peer handed on and return those that were new.
+
+        They are refused when they follow another record than the last one here,
+        since the peer then replayed another log.
+        """
+        digest = batch.previous_digest
+        for index, record in enumerate(batch.records):
+            if record.offset == self.state.next_offset:
+                if digest != self.state.last_digest:
+                    self.conflicts += 1
+                    return []
+                return self.apply(batch.records[index:])
+            digest = digest_record(record.data)
+        return []
+
     def adopt(self, newer: ControlState) -> bool:
         """Take over a newer state as a whole; an older one is ignored."""
         if not adopt_state(self.state, newer):
@@ -61,29 +105,28 @@
         self.state.halted = ""
         self._notify()
 
-    def records_from(self, offset: int) -> list[StoredRecord] | None:
+    def batch_from(self, offset: int) -> RecordBatch | None:
         """Return the next records from an offset, None when they are not held."""
-        if not self._recent or offset < self._recent[0].offset:
+        kept = [item for item in self._recent if item.record.offset >= offset]
+        if not kept or kept[0].record.offset != offset:
             return None
-        batch: list[StoredRecord] = []
+        records: list[StoredRecord] = []
         size_bytes = 0
-        for record in self._recent:
-            if record.offset < offset:
-                continue
-            size_bytes += len(record.data)
-            if batch and size_bytes > BATCH_BYTES:
+        for item in kept:
+            size_bytes += len(item.record.data)
+            if records and size_bytes > BATCH_BYTES:
                 break
-            batch.append(record)
-        return batch
+            records.append(item.record)
+        return RecordBatch(previous_digest=kept[0].previous_digest, records=records)
 
-    def _remember(self, record: StoredRecord) -> None:
+    def _remember(self, item: _KeptRecord) -> None:
         """Keep a record for peers, within bounds of count and size."""
-        self._recent.append(record)
-        self._recent_bytes += len(record.data)
+        self._recent.append(item)
+        self._recent_bytes += len(item.record.data)
         while self._recent and (
             len(self._recent) > RECENT_RECORDS or self._recent_bytes > RECENT_BYTES
         ):
-            self._recent_bytes -= len(self._recent.popleft().data)
+            self._recent_bytes -= len(self._recent.popleft().record.data)
 
     def _notify(self) -> None:
         for listener in self.listeners:
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -164,14 +164,14 @@
             match action:
                 case Renew(host=host):
                     self._sockets.renew(host)
-                case Send(host=host, message=message):
-                    await self._send_peer(host, encode_message(message))
+                case Send(host=host, message=message, is_reply=is_reply):
+                    await self._send_peer(host, encode_message(message), is_reply)
 
-    async def _send_peer(self, host: str, data: bytes) -> None:
-        """Send on the own connection, else on the one that the peer opened."""
+    async def _send_peer(self, host: str, data: bytes, is_reply: bool) -> None:
+        """Send a reply on the peer's connection, and else on the own one if any."""
         identity = self._routes.get(host)
-        is_watched = host in self.exchange.detector.watches
-        if identity is None or is_watched or self._router is None:
+        on_own = host in self.exchange.detector.watches and not is_reply
+        if identity is None or on_own or self._router is None:
             await self._sockets.send(host, data)
             return
         await self._router.send_multipart([identity, data])
--- a/lacewinglug/steward/tail.py
+++ b/lacewinglug/steward/tail.py
@@ -24,10 +24,10 @@
 class LogTail:
     """Keeps the replica up to date with the log.
 
-    Each time that the log is reached anew, the last record of the replica is
-    compared with the log's. While they differ, or the log ends before what was
-    read from it, the replica is halted: its configuration stays in force, and
-    neither records nor authority are taken.
+    Each time that the log is reached anew, or a peer replayed another log, the
+    last record of the replica is compared with the log's. While they differ, or
+    the log ends before what was read from it, the replica is halted: its
+    configuration stays in force, and neither records nor authority are taken.
 
     :param log: client of the log.
     :param replica: the replayed state.
@@ -47,6 +47,7 @@
     _checked: bool = False
     _read_to: int = 0
     _rewound: bool = False
+    _conflicts: int = 0
 
     async def run(self) -> None:
         """Read and replay until cancelled."""
@@ -57,6 +58,10 @@
     async def read_once(self) -> bool:
         """Read once; return whether to read on without a pause."""
         state = self.replica.state
+        if self.replica.conflicts != self._conflicts:
+            self._conflicts = self.replica.conflicts
+            self._checked = False
+            self.metrics.count("log.peer_conflicts")
         try:
             if not self._checked and not await self._check():
                 return False
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -15,6 +15,7 @@
         now_s += 1.0
         for host in heard:
             detector.note_alive(host, now_s=now_s)
+            detector.note_answer(host, now_s=now_s)
         actions += detector.advance(now_s=now_s)
     return actions
 
@@ -39,3 +40,12 @@
     detector = watch("a", "b")
     detector.advance(now_s=1.0)
     assert detector.advance(now_s=60.0) == []
+
+
+def test_connection_without_answers_is_replaced_though_the_host_is_alive():
+    detector = watch("a")
+    actions = []
+    for second in range(1, 10):
+        detector.note_alive("a", now_s=float(second))
+        actions += detector.advance(now_s=float(second))
+    assert actions == [Reconnect(host="a")] * 2
--- /dev/null
+++ b/tests/steward/test_control_processes.py
@@ -0,0 +1,182 @@
+"""Tests of configuration and membership with real processes that fail."""
+
+import json
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+
+import pytest
+
+from harness.deployment import Deployment
+
+HOSTS = ["entry-1", "entry-2", "entry-3"]
+pytestmark = pytest.mark.processes
+
+
+def wait_for(condition, what):
+    for _ in range(600):
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.1)
+    raise AssertionError(what)
+
+
+def fetch(url, *, method="GET", body=None):
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        return json.load(response)
+
+
+def status(deployment, host):
+    return fetch(f"{deployment.entry_url(host)}/v1/status")
+
+
+def host_state(deployment, viewer, host):
+    hosts = status(deployment, viewer)["hosts"]
+    return {item["host"]: item["state"] for item in hosts}.get(host)
+
+
+def in_force(deployment, host, revision):
+    return status(deployment, host)["revision"] == revision
+
+
+def set_faults(deployment, **faults):
+    fetch(f"{deployment.platform_url}/faults", method="PUT", body=faults)
+
+
+def count_records(deployment):
+    url = f"{deployment.platform_url}/streams/control/records?offset=0"
+    return len(fetch(url)["records"])
+
+
+def kill(deployment, name):
+    process = deployment.processes.pop(name)
+    process.kill()
+    process.wait()
+
+
+@pytest.fixture
+def platform(tmp_path):
+    with Deployment(example="volt-trottoir", folder=tmp_path) as deployment:
+        deployment.start_platform()
+        yield deployment
+
+
+@pytest.fixture
+def serving(platform):
+    platform.start_hosts(HOSTS)
+    platform.publish()
+    for host in HOSTS:
+        wait_for(lambda host=host: in_force(platform, host, 1), "not in force")
+    for host in HOSTS:
+        wait_for(
+            lambda host=host: host_state(platform, "entry-1", host) == "live",
+            f"{host} is not live",
+        )
+    return platform
+
+
+def start_publish(deployment, folder, *options):
+    return subprocess.Popen(
+        [
+            str(Path(sys.executable).parent / "lacewinglug"),
+            "publish",
+            str(folder),
+            "--log-url",
+            deployment.platform_url,
+            *options,
+        ],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@pytest.mark.parametrize("appended", [True, False], ids=["after", "before"])
+def test_publisher_killed_around_its_append(platform, appended):
+    options = ["--publish-id", "release-7", "--operator", "ada"]
+    if appended:
+        set_faults(platform, lose_replies=1)
+    else:
+        set_faults(platform, silent=True)
+    publisher = start_publish(platform, platform.config_folder, *options)
+    if appended:
+        wait_for(lambda: count_records(platform) == 1, "nothing was appended")
+    else:
+        time.sleep(1.0)
+    publisher.send_signal(signal.SIGKILL)
+    publisher.communicate()
+    set_faults(platform)
+    for _ in range(2):
+        done = start_publish(platform, platform.config_folder, *options)
+        output, _ = done.communicate()
+        assert (done.returncode, output) == (0, "accepted as revision 1\n")
+    assert count_records(platform) == 1
+    kill(platform, "platform")
+
+
+def test_two_operators_on_one_base(platform, tmp_path):
+    other = tmp_path / "other"
+    shutil.copytree(platform.config_folder, other)
+    (other / "models.toml").write_text(
+        (other / "models.toml").read_text()
+        + "\n[models.extra]\nkv_bytes_per_token = 9\n"
+    )
+    runs = [
+        start_publish(platform, folder, "--base", "0", "--operator", name)
+        for folder, name in ((platform.config_folder, "ada"), (other, "bo"))
+    ]
+    results = [(run, *run.communicate()) for run in runs]
+    assert sorted(run.returncode for run, _, _ in results) == [0, 3]
+    winner = next(
+        name
+        for name, (run, _, _) in zip(("ada", "bo"), results, strict=True)
+        if run.returncode == 0
+    )
+    loser = next(item for item in results if item[0].returncode == 3)
+    assert f"revision 1 by '{winner}' came first" in loser[2]
+
+
+def test_paused_steward_is_suspected_and_comes_back(serving):
+    serving.send_signal("entry-2.steward", signal.SIGSTOP)
+    wait_for(
+        lambda: host_state(serving, "entry-1", "entry-2") == "suspect",
+        "the paused host is not suspected",
+    )
+    assert host_state(serving, "entry-1", "entry-3") == "live"
+    serving.send_signal("entry-2.steward", signal.SIGCONT)
+    wait_for(
+        lambda: host_state(serving, "entry-1", "entry-2") == "live",
+        "the host did not come back",
+    )
+
+
+def test_host_that_starts_while_the_log_is_down_gets_the_revision_from_peers(serving):
+    kill(serving, "platform")
+    for name in ("entry-2.entry", "entry-2.steward"):
+        kill(serving, name)
+    serving.start_steward("entry-2")
+    serving.start_entry("entry-2")
+    wait_for(lambda: in_force(serving, "entry-2", 1), "no revision from peers")
+
+
+def test_log_that_restarts_empty_reverts_nothing(serving):
+    kill(serving, "platform")
+    serving.start_platform()
+    serving.publish()
+    log = "log lost records"
+    wait_for(lambda: log in serving.read_log("entry-1.steward"), "not noticed")
+    for host in HOSTS:
+        assert in_force(serving, host, 1)
+    kill(serving, "entry-3.steward")
+    serving.start_steward("entry-3")
+    time.sleep(2.0)
+    assert in_force(serving, "entry-3", 1)
--- a/tests/steward/test_peers.py
+++ b/tests/steward/test_peers.py
@@ -144,3 +144,15 @@
     fabric.run(3.0)
     for item in fabric.nodes.values():
         assert item.exchange.table.leaving_upstreams() == {"assistant-1"}
+
+
+def test_records_of_another_history_are_refused(fabric):
+    nodes = list(fabric.nodes.values())
+    other = nodes[1].state
+    other.last_digest = "another record"
+    for node in nodes[1:]:
+        node.tail_delay_s = 600.0
+    fabric.append(publish_from(nodes[0].state, "mtl"))
+    fabric.run(2.0)
+    assert (other.revision, nodes[1].exchange.replica.conflicts > 0) == (1, True)
+    assert {node.state.revision for node in nodes[2:]} == {2}
