--- a/lacewinglug/steward/peers.py
+++ b/lacewinglug/steward/peers.py
@@ -28,7 +28,7 @@
 
 Purpose = Literal["probe", "reply", "change"]
 
-HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.25
 _ASK_AFTER_S = 1.0
 _HAND_ON_BYTES = 16 * 1024
 _SPREAD_INTERVAL_S = 0.1
