--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -1,27 +1,31 @@
 """Runs an entry from its settings."""
 
 import asyncio
-import contextlib
 import logging
 
 import aiohttp
-import uvicorn
 
 from lacewinglug.clock import Clock
+from lacewinglug.connections import make_connector
 from lacewinglug.control import EntryHello
 from lacewinglug.entry.app import EntryApp
-from lacewinglug.entry.calls import CallHandler
+from lacewinglug.entry.authentication import Authenticator
+from lacewinglug.entry.burn import BurnReporter
+from lacewinglug.entry.call_wiring import APPEND_TIMEOUT_S, CallParts, build_calls
 from lacewinglug.entry.dispatch import Dispatcher
+from lacewinglug.entry.gate import Gate
 from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.link import StewardLink
 from lacewinglug.entry.prompts import PromptHandler
+from lacewinglug.entry.server import cancel_tasks, serve_http
+from lacewinglug.entry.shutdown import EntryShutdown
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
-from lacewinglug.requests.calls import CallRunner
-from lacewinglug.requests.keys import KeyLedger
 from lacewinglug.requests.prompts import PromptRelay
+from lacewinglug.requests.streams import StreamBounds, StreamWatch
 from lacewinglug.settings import Settings
 from lacewinglug.upstream.client import RunnerClient
 
@@ -29,7 +33,12 @@
 
 
 async def run_entry(
-    *, settings: Settings, incarnation: str, clock: Clock, metrics: Metrics
+    *,
+    settings: Settings,
+    incarnation: str,
+    clock: Clock,
+    metrics: Metrics,
+    stop_requested: asyncio.Event,
 ) -> None:
     """Serve callers until the process is asked to stop.
 
@@ -37,24 +46,52 @@
     :param incarnation: name of this run of the process.
     :param clock: source of time.
     :param metrics: counters.
+    :param stop_requested: starts the graceful shutdown when set.
     """
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        app = _build_app(
+    async with (
+        aiohttp.ClientSession(connector=make_connector()) as session,
+        aiohttp.ClientSession(connector=make_connector(reuse=False)) as fresh_session,
+    ):
+        app, calls = _build_app(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
             metrics=metrics,
             session=session,
+            fresh_session=fresh_session,
         )
-        link_task = asyncio.create_task(_make_link(app, incarnation).run())
+        gate = Gate(app=app.app(), intake=app.intake, settings=settings.entry)
+        shutdown = EntryShutdown(
+            settings=settings,
+            view=app.view,
+            intake=app.intake,
+            gate=gate,
+            watch=app.prompts.watch,
+            clock=clock,
+            metrics=metrics,
+            stop_requested=stop_requested,
+        )
+        reporter = BurnReporter(
+            host=settings.host.name,
+            incarnation=incarnation,
+            recorder=app.intake.recorder,
+            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
+            clock=clock,
+            metrics=metrics,
+        )
+        tasks = [
+            asyncio.create_task(reporter.run()),
+            asyncio.create_task(calls.run()),
+            asyncio.create_task(_make_link(app, incarnation).run()),
+            asyncio.create_task(app.prompts.watch.run()),
+        ]
         logger.info("entry started", extra={"port": settings.entry.port})
         try:
-            await _serve(app)
+            await serve_http(gate, settings, shutdown)
         finally:
-            link_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await link_task
+            await cancel_tasks(tasks)
+            await calls.close()
+            await reporter.flush()
     logger.info("entry stopped")
 
 
@@ -65,27 +102,52 @@
     clock: Clock,
     metrics: Metrics,
     session: aiohttp.ClientSession,
-) -> EntryApp:
+    fresh_session: aiohttp.ClientSession,
+) -> tuple[EntryApp, CallParts]:
     """Put the parts of an entry together."""
     view = EntryView(availability_zone=settings.host.availability_zone)
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
-    ledger = KeyLedger(ids=ids)
-    client = RunnerClient(session=session)
+    client = RunnerClient(session=session, fresh_session=fresh_session)
     dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
+    recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
     intake = Intake(
-        view=view, ids=ids, recorder=OutcomeRecorder(), clock=clock, metrics=metrics
+        view=view,
+        ids=ids,
+        recorder=recorder,
+        clock=clock,
+        metrics=metrics,
+        authenticator=Authenticator(view=view, admin_key=settings.admin.key),
+    )
+    relay = PromptRelay(
+        dispatcher=dispatcher, client=client, view=view, clock=clock, metrics=metrics
     )
-    relay = PromptRelay(dispatcher=dispatcher, client=client, metrics=metrics)
-    calls = CallRunner(
-        dispatcher=dispatcher, client=client, ledger=ledger, metrics=metrics
+    watch = StreamWatch(
+        view=view,
+        bounds=StreamBounds(caller_s=settings.entry.caller_stall_timeout_s),
+        clock=clock,
+        metrics=metrics,
+    )
+    calls = build_calls(
+        settings=settings,
+        ids=ids,
+        intake=intake,
+        dispatcher=dispatcher,
+        client=client,
+        log=HttpLogClient(
+            session=session,
+            base_url=settings.platform.log_url,
+            append_timeout_s=APPEND_TIMEOUT_S,
+        ),
+        session=fresh_session,
     )
-    return EntryApp(
+    app = EntryApp(
         settings=settings,
         view=view,
         intake=intake,
-        prompts=PromptHandler(intake=intake, relay=relay),
-        calls=CallHandler(intake=intake, calls=calls, ledger=ledger),
+        prompts=PromptHandler(intake=intake, relay=relay, watch=watch),
+        calls=calls.handler,
     )
+    return app, calls
 
 
 def _make_link(app: EntryApp, incarnation: str) -> StewardLink:
@@ -106,18 +168,3 @@
         view=app.view,
         make_hello=make_hello,
     )
-
-
-async def _serve(app: EntryApp) -> None:
-    """Run the HTTP server until a signal stops it."""
-    settings = app.settings
-    config = uvicorn.Config(
-        app.app(),
-        host=settings.host.address,
-        port=settings.entry.port,
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        timeout_graceful_shutdown=int(settings.entry.drain_deadline_s),
-    )
-    await uvicorn.Server(config).serve()
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -59,16 +59,27 @@
 
     :param port: TCP port for callers.
     :param address_ttl_s: how long a caller may keep an entry address, in seconds.
+    :param leave_notice_s: time until every host knows that this one leaves, in
+        seconds.
     :param drain_deadline_s: longest shutdown, in seconds.
     :param default_timeout_s: timeout of a request that names none, in seconds.
     :param max_body_bytes: largest request body, in bytes.
+    :param max_concurrent_requests: requests in progress at this host.
+    :param receive_timeout_s: longest wait for a request to arrive whole, in
+        seconds.
+    :param caller_stall_timeout_s: longest wait for a caller to read what was sent,
+        in seconds.
     """
 
     port: Port
     address_ttl_s: PositiveSeconds
+    leave_notice_s: PositiveSeconds
     drain_deadline_s: PositiveSeconds
     default_timeout_s: PositiveSeconds
     max_body_bytes: Annotated[int, Field(ge=1024)]
+    max_concurrent_requests: Annotated[int, Field(ge=1)]
+    receive_timeout_s: PositiveSeconds
+    caller_stall_timeout_s: PositiveSeconds
 
 
 class StewardSettings(_Section):
@@ -96,6 +107,38 @@
     order_settle_s: PositiveSeconds
 
 
+class CallSettings(_Section):
+    """Settings of calls that may not be repeated.
+
+    :param key_window: minted keys whose use is remembered.
+    :param max_results: results kept in memory.
+    :param max_result_bytes: size of the results kept in memory, in bytes.
+    :param max_own_keys: callers' own keys held in memory.
+    :param own_key_window_s: time for which a caller's own key is remembered, in
+        seconds; shorter than the log keeps its records.
+    :param intent_interval_s: shortest time between two appends of intents to one
+        stream, in seconds.
+    :param outcome_interval_s: time between two appends of results, in seconds.
+    """
+
+    key_window: Annotated[int, Field(ge=1000)]
+    max_results: Annotated[int, Field(ge=1)]
+    max_result_bytes: Annotated[int, Field(ge=1024)]
+    max_own_keys: Annotated[int, Field(ge=1)]
+    own_key_window_s: Annotated[float, Field(gt=0)]
+    intent_interval_s: PositiveSeconds
+    outcome_interval_s: PositiveSeconds
+
+
+class AdminSettings(_Section):
+    """Who may use the paths of operators and of other entries.
+
+    :param key: key that operators and entries show, empty for no check.
+    """
+
+    key: str = Field(repr=False)
+
+
 class LoggingSettings(_Section):
     """How log lines are written.
 
@@ -125,6 +168,8 @@
     platform: PlatformSettings
     entry: EntrySettings
     steward: StewardSettings
+    calls: CallSettings
+    admin: AdminSettings
     logging: LoggingSettings
     metrics: MetricsSettings
 
