Refuse work as not run while a host has no configuration

Cause: an entry that started with the log down and no peers answered 404, saying that the service has no such kind of request, which nobody could know. The gate refuses with 503 and the remedy now. The test starts a real host with neither.

--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -123,6 +123,11 @@
                 remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
                 retry_after_s=0.0,
             )
+        if self.intake.view.revision == 0:
+            return NotRun(
+                reason="the entry host has no configuration yet",
+                remedy="send it again after the retry time, or to another entry host",
+            )
         length = headers.get(_LENGTH, b"")
         if length.isdigit() and int(length) > self.settings.max_body_bytes:
             return _too_large(self.settings)
--- a/tests/steward/test_control_processes.py
+++ b/tests/steward/test_control_processes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+import urllib.error
 import urllib.request
 from pathlib import Path
 
@@ -168,6 +169,20 @@
     wait_for(lambda: in_force(serving, "entry-2", 1), "no revision from peers")
 
 
+def test_host_without_log_and_peers_refuses_as_not_run(platform):
+    kill(platform, "platform")
+    platform.start_hosts(["entry-1"])
+    url = f"{platform.entry_url('entry-1')}/v1/status"
+    platform.wait_url("entry-1.entry", url)
+    prompt = f"{platform.entry_url('entry-1')}/v1/services/assistant/prompts"
+    with pytest.raises(urllib.error.HTTPError) as caught:
+        fetch(prompt, method="POST", body={"prompt": "which bay", "max_tokens": 1})
+    assert caught.value.code == 503
+    body = caught.value.read().decode()
+    assert "no configuration yet" in body
+    assert "not_run" in body
+
+
 def test_log_that_restarts_empty_reverts_nothing(serving):
     kill(serving, "platform")
     serving.start_platform()
