--- a/lacewinglug/entry/app.py
+++ b/lacewinglug/entry/app.py
@@ -32,6 +32,9 @@
     :param draining: hosts and runners that get no new work.
     :param withdrawn: hosts and runners that are gone.
     :param holders: host that holds the tenure of each order domain.
+    :param halted: why no further record of the log is applied, empty while they
+        are.
+    :param leaving: hosts and runners that some host saw leaving.
     """
 
     host: str
@@ -41,6 +44,8 @@
     draining: list[str]
     withdrawn: list[str]
     holders: dict[str, str]
+    halted: str = ""
+    leaving: list[str] = []
 
 
 @dataclass(kw_only=True)
@@ -97,6 +102,8 @@
                     if config
                     else {}
                 ),
+                halted=config.halted if config else "",
+                leaving=sorted(self.view.leaving),
             )
         )
 
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -54,7 +54,10 @@
 
 def _describe(reply: StatusReply) -> list[str]:
     """Return the lines of the status report."""
-    lines = [f"revision {reply.revision} at {reply.host}", "", "hosts"]
+    lines = [f"revision {reply.revision} at {reply.host}"]
+    if reply.halted:
+        lines.append(f"halted: {reply.halted}")
+    lines += ["", "hosts"]
     for host in sorted(reply.hosts, key=lambda item: item.host):
         drain = _drain_state(host.host, reply)
         lines.append(
@@ -81,4 +84,6 @@
         return "withdrawn"
     if name in reply.draining:
         return "draining"
+    if name in reply.leaving:
+        return "leaving"
     return ""
--- a/tests/steward/test_control_processes.py
+++ b/tests/steward/test_control_processes.py
@@ -189,6 +189,8 @@
     serving.publish()
     log = "log lost records"
     wait_for(lambda: log in serving.read_log("entry-1.steward"), "not noticed")
+    wait_for(lambda: status(serving, "entry-1")["halted"], "not told to operators")
+    assert "halted: the log lost" in serving.run_command("status").stdout
     for host in HOSTS:
         assert in_force(serving, host, 1)
     kill(serving, "entry-3.steward")
