--- a/lacewinglug/charts/__init__.py
+++ b/lacewinglug/charts/__init__.py
@@ -4,6 +4,7 @@
 that follow a chart keep their state in an attribute ``chart_state``.
 """
 
+import logging
 import tomllib
 from dataclasses import dataclass
 from functools import cache
@@ -16,6 +17,11 @@
 ANY_STATE = "*"
 
 
+# The library logs every transition as INFO; lines are for changes of state that
+# the users of a chart report themselves.
+logging.getLogger("transitions").setLevel(logging.WARNING)
+
+
 class ChartError(Exception):
     """A chart file is wrong, or an event is not allowed in a state."""
 
--- a/lacewinglug/steward/tenures.py
+++ b/lacewinglug/steward/tenures.py
@@ -25,7 +25,7 @@
 )
 from lacewinglug.charts import load_chart
 from lacewinglug.clock import Clock
-from lacewinglug.errors import LogUnavailableError
+from lacewinglug.errors import PlatformError
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
 from lacewinglug.platform.log import CONTROL_STREAM, LogClient
@@ -137,7 +137,7 @@
             reply = await self.log.read(
                 CONTROL_STREAM, self.state.next_offset, wait_s=0.0
             )
-        except LogUnavailableError:
+        except PlatformError:
             return False
         return not reply.records and self.holds(domain, tenure)
 
@@ -271,5 +271,5 @@
         self.metrics.count("tenures.appends")
         try:
             await self.log.append(CONTROL_STREAM, encode_record(record))
-        except LogUnavailableError:
+        except PlatformError:
             self.metrics.count("tenures.append_failures")
