Let one engine of a service change at a time across holders

Cause: the bound on changes held within one order domain only. Holders now see each other's changes in the load reports and take turns in the order of the domains' names, 2 s each, longer than the reports' lag. Ruled out: a record in the log for each change (appends, and none while the log is down). What remains: reports that lag by more than 2 s let two begin.

--- a/lacewinglug/authority/orders.py
+++ b/lacewinglug/authority/orders.py
@@ -212,7 +212,7 @@
     """How many engines change at once.
 
     :param changes_per_service: serving engines of a service that are drained or
-        change at once, in one order domain.
+        change at once under one holder.
     :param pulls_per_store: engines of the fleet that pull weights at once; each
         domain has an equal share and at least one.
     """
@@ -223,10 +223,11 @@
     def may_begin(
         self, step: BeginChange, others: Iterable[EngineChange], *, domains: int
     ) -> bool:
-        """Return whether another change may begin in a domain.
+        """Return whether another change may begin.
 
         :param step: the change.
-        :param others: what the holder knows of the domain's other engines.
+        :param others: what the holder knows of other engines: those of the service
+            for an engine that serves, those of the domain for one that loads.
         :param domains: number of order domains in the configuration.
         """
         busy = [item for item in others if item.in_progress]
--- a/lacewinglug/steward/orders.py
+++ b/lacewinglug/steward/orders.py
@@ -18,6 +18,7 @@
     make_target,
 )
 from lacewinglug.steward.tenures import TenureKeeper
+from lacewinglug.steward.turns import ServiceTurns
 from lacewinglug.upstream.messages import EngineTarget, LoadReport
 
 logger = logging.getLogger(__name__)
@@ -47,10 +48,14 @@
     reports: Callable[[], Mapping[str, LoadReport]] = dict
     timings: OrderTimings = field(default_factory=OrderTimings)
     limits: ChangeLimits = field(default_factory=ChangeLimits)
+    turns: ServiceTurns = field(init=False)
     changes: dict[str, EngineChange] = field(default_factory=dict)
     _domains: dict[str, str] = field(default_factory=dict)
     _steps: dict[str, asyncio.Task[None]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.turns = ServiceTurns(state=self.state, reports=self.reports)
+
     async def run(self) -> None:
         """Claim tenures and give orders until cancelled, then release."""
         try:
@@ -77,12 +82,15 @@
         now_s = self.clock.now_s()
         wanted = self._wanted_targets(now_s)
         reports = self.reports()
+        self.turns.note_reports(self.changes, now_s=now_s)
         for runner, target in wanted.items():
             change = self.changes[runner]
             if runner in self._steps or not _is_due(
                 change, target, reports.get(runner), now_s
             ):
                 continue
+            if _is_newly_wanted(change, target):
+                self.turns.restart(runner, now_s=now_s)
             step = self.driver.step(
                 change,
                 target,
@@ -111,13 +119,24 @@
 
     def _may_begin(self, change: EngineChange, begin: BeginChange) -> bool:
         domain = self._domains.get(change.runner)
+        if domain is None:
+            return False
+        if not begin.loading and not self.turns.has_turn(
+            change.runner, domain, now_s=self.clock.now_s()
+        ):
+            return False
+        group = self._domains.get if begin.loading else self._service_of
         others = [
             item
             for name, item in self.changes.items()
-            if item is not change and self._domains.get(name) == domain
+            if item is not change and group(name) == group(change.runner)
         ]
         return self.limits.may_begin(begin, others, domains=len(self.keeper.domains))
 
+    def _service_of(self, runner: str) -> str:
+        item = self.state.fleet.runners.get(runner)
+        return item.service if item else ""
+
     def _follow_tenures(self) -> None:
         """Begin anew with the engines of each tenure that was won."""
         held = self.keeper.held()
@@ -201,8 +220,15 @@
         return True
     if change.chart_state != "agreed" or change.agreed is None:
         return False
-    if not wanted.is_met_by(change.agreed) and wanted.role:
+    if _is_newly_wanted(change, wanted):
         return True
     if report is None or not change.checks_fencing:
         return False
     return report.fencing_number < change.fence
+
+
+def _is_newly_wanted(change: EngineChange, wanted: EngineTarget) -> bool:
+    """Return whether an engine that ran what was wanted is wanted otherwise."""
+    if change.chart_state != "agreed" or change.agreed is None:
+        return False
+    return bool(wanted.role) and not wanted.is_met_by(change.agreed)
--- /dev/null
+++ b/lacewinglug/steward/turns.py
@@ -0,0 +1,90 @@
+"""Takes turns between stewards that change engines of the same service."""
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+from lacewinglug.authority.domains import list_domains
+from lacewinglug.authority.state import ControlState
+from lacewinglug.upstream.messages import LoadReport
+
+TURN_S = 2.0
+"""Head start of each order domain before the next one, in seconds. Longer than
+the lag of load reports, in which a change that began elsewhere shows."""
+
+BUSY_LIMIT_S = 300.0
+"""An engine that is away for longer keeps the others waiting no more."""
+
+
+@dataclass(kw_only=True)
+class ServiceTurns:
+    """Owns what the load reports show of changes under other holders.
+
+    :param state: the replayed state.
+    :param reports: returns the last load report of each runner.
+    """
+
+    state: ControlState
+    reports: Callable[[], Mapping[str, LoadReport]]
+    _away_since_s: dict[str, float] = field(default_factory=dict)
+    _free_since_s: dict[str, float] = field(default_factory=dict)
+    _places: dict[str, int] = field(default_factory=dict)
+    _revision: int = -1
+
+    def note_reports(self, own: Collection[str], *, now_s: float) -> None:
+        """Note which services have an engine away under another holder.
+
+        :param own: runners whose orders this process gives.
+        :param now_s: monotonic time, in seconds.
+        """
+        fleet = self.state.fleet
+        busy = set()
+        for name, report in self.reports().items():
+            if name not in fleet.runners:
+                continue
+            if report.state == "ready" or name in own or name in self.state.draining:
+                self._away_since_s.pop(name, None)
+                continue
+            since_s = self._away_since_s.setdefault(name, now_s)
+            if now_s - since_s <= BUSY_LIMIT_S:
+                busy.add(fleet.runners[name].service)
+        for service in fleet.services:
+            if service in busy:
+                self._free_since_s.pop(service, None)
+            else:
+                self._free_since_s.setdefault(service, now_s)
+
+    def has_turn(self, runner: str, domain: str, *, now_s: float) -> bool:
+        """Return whether a change of a runner may begin now.
+
+        :param runner: name of the runner.
+        :param domain: its order domain.
+        :param now_s: monotonic time, in seconds.
+        """
+        self._refresh_places()
+        service = self.state.fleet.runners[runner].service
+        free_since_s = self._free_since_s.get(service)
+        if free_since_s is None:
+            return False
+        return now_s - free_since_s >= self._places.get(domain, 0) * TURN_S
+
+    def restart(self, runner: str, *, now_s: float) -> None:
+        """Start the turns of a runner's service anew, for a change just wanted."""
+        service = self.state.fleet.runners[runner].service
+        if service in self._free_since_s:
+            self._free_since_s[service] = now_s
+
+    def _refresh_places(self) -> None:
+        """Number the order domains of each service in the order of their names."""
+        if self._revision == self.state.revision:
+            return
+        self._revision = self.state.revision
+        fleet = self.state.fleet
+        by_service: dict[str, list[str]] = {}
+        for domain, runners in list_domains(fleet).items():
+            service = fleet.runners[runners[0]].service
+            by_service.setdefault(service, []).append(domain.name)
+        self._places = {
+            name: place
+            for names in by_service.values()
+            for place, name in enumerate(sorted(names))
+        }
