--- a/harness/order_fakes.py
+++ b/harness/order_fakes.py
@@ -216,9 +216,11 @@
     on_the_way: list[tuple[str, EngineOrder]] = field(default_factory=list)
     gate: asyncio.Event | None = None
     sent: int = 0
+    reads: int = 0
 
     async def fetch_state(self, url: str) -> EngineState:
         """Return what an engine runs now."""
+        self.reads += 1
         return self.engines[url].read()
 
     async def give_order(self, url: str, order: EngineOrder) -> OrderReply:
