--- /dev/null
+++ b/lacewinglug/entry/server.py
@@ -0,0 +1,60 @@
+"""Runs the entry's HTTP server until its shutdown is complete."""
+
+import asyncio
+import contextlib
+from collections.abc import Collection
+from typing import Any
+
+import uvicorn
+
+from lacewinglug.entry.connection import MAX_HEADER_BYTES, CallerProtocol
+from lacewinglug.entry.gate import Gate
+from lacewinglug.entry.shutdown import EntryShutdown
+from lacewinglug.settings import Settings
+
+CLOSE_TIMEOUT_S = 5
+
+
+class _Server(uvicorn.Server):
+    """HTTP server that leaves the signals to the program."""
+
+    def capture_signals(  # type: ignore[override]
+        self,
+    ) -> contextlib.AbstractContextManager[None]:
+        """Install no signal handlers."""
+        return contextlib.nullcontext()
+
+
+async def serve_http(gate: Gate, settings: Settings, shutdown: EntryShutdown) -> None:
+    """Serve until the shutdown is complete, or the server fails.
+
+    :param gate: the application.
+    :param settings: settings of the host.
+    :param shutdown: returns when the server may close.
+    """
+    config = uvicorn.Config(
+        gate,
+        host=settings.host.address,
+        port=settings.entry.port,
+        http=CallerProtocol,
+        ws="none",
+        h11_max_incomplete_event_size=MAX_HEADER_BYTES,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+    )
+    server = _Server(config)
+    serving = asyncio.create_task(server.serve())
+    leaving = asyncio.create_task(shutdown.run())
+    await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
+    server.should_exit = True
+    await cancel_tasks([leaving])
+    await serving
+
+
+async def cancel_tasks(tasks: Collection["asyncio.Task[Any]"]) -> None:
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
