Limit bodies, headers and concurrency with typed refusals, and prove the shutdown

A refusal raised while a handler reads a body went through Starlette's 500 first, so it is now an exception handler of the application. h11 checks its header limit only for requests that arrive in pieces: headers of 100 KB passed, so the gate checks the sum too. A server that closes with unread bytes resets the connection and the sender never reads the answer, so the rest of a refused body is read and dropped for 2 s. Silence bounds of the kernel and of ZeroMQ stand on every connection, and no pool hands out a connection that was idle for 2 s (the servers close at 5 s).

--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -1,14 +1,18 @@
 """A caller's side: asks for entry addresses, sends prompts and calls."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lacewinglug.clock import Clock, SystemClock
 from lacewinglug.entry.calls import KeyReply
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER
+from lacewinglug.entry.responses import ADDRESSES_HEADER
 from lacewinglug.membership.addresses import EntryAddresses
 from lacewinglug.requests.answers import (
     AnswerEnd,
@@ -20,6 +24,10 @@
 from lacewinglug.upstream.client import KEY_HEADER
 from lacewinglug.upstream.messages import CallReply
 
+_ADDRESS_LISTS = 3
+_SHORT_TIMEOUT = aiohttp.ClientTimeout(total=5.0, connect=2.0)
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=7.0)
+
 _part_decoder = msgspec.json.Decoder(AnswerToken | AnswerHeartbeat | AnswerEnd)
 
 
@@ -34,6 +42,35 @@
         self.body = body
 
 
+class _NextEntryError(Exception):
+    """An entry host gave nothing of the answer, so another one may.
+
+    :param cause: what to raise when there is no other.
+    """
+
+    def __init__(self, *, cause: Exception) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+
+
+def _decode_part(line: bytes) -> AnswerToken | AnswerHeartbeat | AnswerEnd:
+    """Return a line of an answer, or raise the failure that it carries."""
+    try:
+        return _part_decoder.decode(line)
+    except msgspec.ValidationError:
+        body = msgspec.json.decode(line, type=FailureBody)
+        raise AnswerFailedError(body) from None
+
+
+async def _read_refusal(response: aiohttp.ClientResponse) -> Exception:
+    """Return the error of an answer without a stream."""
+    body = msgspec.json.decode(await response.read(), type=FailureBody)
+    error = AnswerFailedError(body)
+    if ADDRESSES_HEADER in response.headers:
+        return _NextEntryError(cause=error)
+    return error
+
+
 @dataclass(kw_only=True)
 class CallerClient:
     """Sends requests of one organisation.
@@ -42,25 +79,60 @@
     :param entry_url: any entry host, to ask for addresses.
     :param organisation: name of the organisation.
     :param region: region of the caller.
+    :param clock: source of time.
     """
 
     session: aiohttp.ClientSession
     entry_url: str
     organisation: str
     region: str
+    clock: Clock = field(default_factory=SystemClock)
     addresses: list[str] = field(default_factory=list)
+    _keep_until_s: float = 0.0
+    _refresh: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def _headers(self) -> dict[str, str]:
         return {CALLER_HEADER: self.organisation, REGION_HEADER: self.region}
 
     async def fetch_addresses(self) -> EntryAddresses:
-        """Ask which entry hosts to use, and use the first from now on."""
-        url = f"{self.entry_url}/v1/entries"
-        async with self.session.get(url, headers=self._headers()) as response:
+        """Ask which entry hosts to use, and keep the answer for its time to live.
+
+        :raises aiohttp.ClientError: no known entry host answers.
+        """
+        error: aiohttp.ClientError | None = None
+        for base_url in dict.fromkeys((*self.addresses, self.entry_url)):
+            try:
+                return await self._fetch_from(base_url)
+            except TimeoutError:
+                error = aiohttp.ServerTimeoutError(f"{base_url} does not answer")
+            except aiohttp.ClientError as caught:
+                error = caught
+        assert error is not None
+        raise error
+
+    async def _fetch_from(self, base_url: str) -> EntryAddresses:
+        async with self.session.get(
+            f"{base_url}/v1/entries",
+            headers=self._headers(),
+            timeout=_SHORT_TIMEOUT,
+            raise_for_status=True,
+        ) as response:
             reply = msgspec.json.decode(await response.read(), type=EntryAddresses)
         self.addresses = reply.addresses
+        self._keep_until_s = self.clock.now_s() + reply.ttl_s
         return reply
 
+    async def _find_entries(self, *, failed: list[str] | None = None) -> list[str]:
+        """Return the entry hosts to use, best first.
+
+        :param failed: kept addresses that all failed, to be replaced by new ones.
+        """
+        async with self._refresh:
+            is_old = self.clock.now_s() >= self._keep_until_s
+            if is_old or self.addresses is failed:
+                await self.fetch_addresses()
+        return self.addresses
+
     @property
     def _entry(self) -> str:
         return self.addresses[0] if self.addresses else self.entry_url
@@ -68,28 +140,58 @@
     async def send_prompt(self, service: str, body: PromptBody) -> AsyncIterator[str]:
         """Yield the texts of an answer's tokens.
 
+        Goes to the next address where one cannot be connected or refuses, and
+        asks for addresses again when all of them did.
+
         :raises AnswerFailedError: the answer is not whole.
+        :raises aiohttp.ClientError: the connection broke in the middle.
         """
-        url = f"{self._entry}/v1/services/{service}/prompts"
-        async with self.session.post(
-            url, data=msgspec.json.encode(body), headers=self._headers()
-        ) as response:
-            if response.status != 200:
-                content = await response.read()
-                raise AnswerFailedError(msgspec.json.decode(content, type=FailureBody))
-            async for line in response.content:
+        cause: Exception | None = None
+        entries: list[str] | None = None
+        for _ in range(_ADDRESS_LISTS):
+            entries = await self._find_entries(failed=entries)
+            for entry in entries:
+                tokens = self._send_prompt_to(entry, service, body)
                 try:
-                    part = _part_decoder.decode(line)
-                except msgspec.ValidationError:
-                    raise AnswerFailedError(
-                        msgspec.json.decode(line, type=FailureBody)
-                    ) from None
-                match part:
-                    case AnswerToken(text=text):
-                        yield text
-                    case AnswerEnd():
-                        return
-        raise aiohttp.ClientPayloadError("the answer has no end; send it again")
+                    async with aclosing(tokens):
+                        async for text in tokens:
+                            yield text
+                    return
+                except _NextEntryError as error:
+                    cause = error.cause
+        raise cause or aiohttp.ClientError("no entry host is in service; try later")
+
+    async def _send_prompt_to(
+        self, entry: str, service: str, body: PromptBody
+    ) -> AsyncGenerator[str, None]:
+        """Yield the answer of one entry host.
+
+        :raises _NextEntryError: nothing of the answer came from this host.
+        """
+        url = f"{entry}/v1/services/{service}/prompts"
+        tokens = 0
+        try:
+            async with self.session.post(
+                url,
+                data=msgspec.json.encode(body),
+                headers=self._headers(),
+                timeout=_STREAM_TIMEOUT,
+            ) as response:
+                if response.status != 200:
+                    raise await _read_refusal(response)
+                async for line in response.content:
+                    part = _decode_part(line)
+                    match part:
+                        case AnswerToken(text=text):
+                            tokens += 1
+                            yield text
+                        case AnswerEnd():
+                            return
+            raise aiohttp.ClientPayloadError("the answer has no end; send it again")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            if tokens:
+                raise
+            raise _NextEntryError(cause=error) from None
 
     async def mint_key(self) -> str:
         """Return a key for a call that may not be repeated."""
--- a/lacewinglug/connections.py
+++ b/lacewinglug/connections.py
@@ -1,14 +1,20 @@
 """Bounds that the kernel and the pools set on quiet TCP connections."""
 
 import socket
+from typing import TYPE_CHECKING
 
 import aiohttp
 
+if TYPE_CHECKING:
+    import zmq
+
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_TIMEOUT_S = 10
 POOL_IDLE_S = 2.0
+ZMQ_HEARTBEAT_INTERVAL_S = 1
+ZMQ_HEARTBEAT_TIMEOUT_S = 3
 MS_PER_S = 1000
 
 
@@ -50,3 +56,13 @@
     connection = socket.socket(family=family, type=kind, proto=protocol)
     bound_silence(connection)
     return connection
+
+
+def bound_zmq_silence(zmq_socket: "zmq.Socket") -> None:
+    """Let ZeroMQ replace a connection that answers no heartbeat.
+
+    :param zmq_socket: a socket that is not yet bound or connected.
+    """
+    zmq_socket.heartbeat_ivl = ZMQ_HEARTBEAT_INTERVAL_S * MS_PER_S
+    zmq_socket.heartbeat_timeout = ZMQ_HEARTBEAT_TIMEOUT_S * MS_PER_S
+    zmq_socket.connect_timeout = ZMQ_HEARTBEAT_TIMEOUT_S * MS_PER_S
--- a/lacewinglug/entry/app.py
+++ b/lacewinglug/entry/app.py
@@ -4,15 +4,21 @@
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from lacewinglug.control import HostStatus, RunnerStatus
 from lacewinglug.entry.calls import CallHandler
+from lacewinglug.entry.gate import RefusedError, handle_refused
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER, Intake
 from lacewinglug.entry.prompts import PromptHandler
-from lacewinglug.entry.responses import message_response
+from lacewinglug.entry.responses import (
+    handle_defect,
+    handle_http_error,
+    message_response,
+)
 from lacewinglug.entry.view import EntryView
 from lacewinglug.membership.addresses import (
     EntryAddresses,
@@ -101,11 +107,16 @@
         """Return the HTTP application."""
         service = "/v1/services/{service}"
         return Starlette(
+            exception_handlers={
+                RefusedError: handle_refused,
+                HTTPException: handle_http_error,
+                Exception: handle_defect,
+            },
             routes=[
                 Route("/v1/entries", self.handle_entries, methods=["GET"]),
                 Route("/v1/keys", self.calls.handle_mint, methods=["POST"]),
                 Route(f"{service}/prompts", self.prompts.handle, methods=["POST"]),
                 Route(f"{service}/calls/{{kind}}", self.calls.handle, methods=["POST"]),
                 Route("/v1/status", self.handle_status, methods=["GET"]),
-            ]
+            ],
         )
--- a/lacewinglug/entry/connection.py
+++ b/lacewinglug/entry/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -18,6 +19,7 @@
 HEADER_TIMEOUT_S = 10.0
 UNREAD_TIMEOUT_S = 30
 LINGER_S = 10.0
+DISCARD_TIMEOUT_S = 2.0
 SEND_BUFFER_BYTES = 65536
 WRITE_BUFFER_BYTES = 32768
 CONNECTION_KEY = "connection"
@@ -66,16 +68,21 @@
             **self.app_state,
             CONNECTION_KEY: CallerConnection(transport=transport, flow=self.flow),
         }
+        self._discard_timer: asyncio.TimerHandle | None = None
         self._header_timer: asyncio.TimerHandle | None = None
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
         self._stop_header_timer()
+        if self._discard_timer is not None:
+            self._discard_timer.cancel()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes; while they are part of headers the timer runs."""
+        if self._discard_timer is not None:
+            return
         super().data_received(data)
         if self.conn.their_state is not h11.IDLE:
             self._stop_header_timer()
@@ -103,13 +110,16 @@
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             for event in events:
                 self.transport.write(self.conn.send(event) or b"")
-        self.transport.close()
+        self.transport.write_eof()
+        self._discard_timer = self.loop.call_later(
+            DISCARD_TIMEOUT_S, self.transport.close
+        )
 
     def _refuse_slow_headers(self) -> None:
         refusal = NotRun(
             reason="the request's headers did not arrive in time",
             remedy="send the whole request at once",
-            status=408,
+            status=HTTPStatus.REQUEST_TIMEOUT,
         )
         self._send_refusal(refusal)
 
--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -1,13 +1,18 @@
 """Limits that every request passes before its handler sees it."""
 
 import asyncio
+import contextlib
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
+from starlette.requests import Request
+from starlette.responses import Response
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from lacewinglug.entry.connection import DISCARD_TIMEOUT_S, MAX_HEADER_BYTES
 from lacewinglug.entry.intake import CALLER_HEADER, Intake
-from lacewinglug.entry.responses import failure_response
+from lacewinglug.entry.responses import ADDRESSES_HEADER, failure_response
 from lacewinglug.ids import MintedId
 from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown
 from lacewinglug.settings import EntrySettings
@@ -16,7 +21,10 @@
 _CALLER = CALLER_HEADER.lower().encode()
 _KEY = KEY_HEADER.lower().encode()
 _LENGTH = b"content-length"
-ADDRESSES_HEADER = "X-Entry-Addresses"
+_CLOSING_STATUSES = (
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+)
 
 
 class RefusedError(Exception):
@@ -30,6 +38,20 @@
         self.refusal = refusal
 
 
+def refusal_response(refusal: NotRun) -> Response:
+    """Return the response to a request that broke a limit."""
+    response = failure_response(refusal)
+    if refusal.status in _CLOSING_STATUSES:
+        response.headers["Connection"] = "close"
+    return response
+
+
+async def handle_refused(request: Request, error: Exception) -> Response:
+    """Answer a request that broke a limit while its handler read it."""
+    assert isinstance(error, RefusedError)
+    return refusal_response(error.refusal)
+
+
 @dataclass(kw_only=True)
 class Gate:
     """Owns the count of requests in progress and refuses what is over a limit.
@@ -63,6 +85,7 @@
         organisation = headers.get(_CALLER, b"").decode("latin-1")
         refusal = self._find_refusal(headers, organisation)
         if refusal is not None:
+            await _discard_body(receive)
             await self._refuse(refusal, scope, receive, send)
             return
         task = asyncio.current_task()
@@ -89,8 +112,6 @@
         body = _BodyReceiver(receive=receive, settings=self.settings)
         try:
             await self.app(scope, body, send)
-        except RefusedError as error:
-            await self._refuse(error.refusal, scope, receive, send)
         except asyncio.CancelledError:
             if not self._tasks[task]:
                 raise
@@ -105,11 +126,11 @@
     async def _refuse(
         self, refusal: NotRun, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        self.intake.metrics.count(f"requests.refused.{refusal.status}")
-        response = failure_response(refusal)
-        if self.refusing:
+        self.intake.metrics.count(f"requests.refused.{int(refusal.status)}")
+        response = refusal_response(refusal)
+        if refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
             response.headers[ADDRESSES_HEADER] = ", ".join(self.addresses)
-        if self.refusing or refusal.status in (408, 413):
+        if self.refusing:
             response.headers["Connection"] = "close"
         await response(scope, receive, send)
 
@@ -123,6 +144,16 @@
                 remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
                 retry_after_s=0.0,
             )
+        if (
+            sum(len(name) + len(value) for name, value in headers.items())
+            > MAX_HEADER_BYTES
+        ):
+            return NotRun(
+                reason="the request's headers are too large",
+                remedy=f"send at most {MAX_HEADER_BYTES} bytes of headers",
+                retry_after_s=0.0,
+                status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            )
         length = headers.get(_LENGTH, b"")
         if length.isdigit() and int(length) > self.settings.max_body_bytes:
             return _too_large(self.settings)
@@ -142,7 +173,7 @@
             reason=f"{organisation!r} has {self._active[organisation]} requests in "
             "progress at this entry host, its limit",
             remedy="wait for answers, or ask the operators for a higher limit",
-            status=429,
+            status=HTTPStatus.TOO_MANY_REQUESTS,
         )
 
     def _owns_key(self, headers: dict[bytes, bytes]) -> bool:
@@ -177,20 +208,29 @@
                 NotRun(
                     reason="the request's body did not arrive in time",
                     remedy="send the whole body at once",
-                    status=408,
+                    status=HTTPStatus.REQUEST_TIMEOUT,
                 )
             ) from None
         self.received_bytes += len(message.get("body", b""))
         if self.received_bytes > self.settings.max_body_bytes:
+            await _discard_body(self.receive)
             raise RefusedError(_too_large(self.settings))
         self.whole = not message.get("more_body", False)
         return message
 
 
+async def _discard_body(receive: Receive) -> None:
+    """Read the rest of a body for a while, so that its sender reads the answer."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DISCARD_TIMEOUT_S):
+            while (await receive()).get("more_body", False):
+                pass
+
+
 def _too_large(settings: EntrySettings) -> NotRun:
     return NotRun(
         reason="the request's body is too large",
         remedy=f"send at most {settings.max_body_bytes} bytes",
         retry_after_s=0.0,
-        status=413,
+        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     )
--- a/lacewinglug/entry/link.py
+++ b/lacewinglug/entry/link.py
@@ -8,6 +8,7 @@
 import zmq
 import zmq.asyncio
 
+from lacewinglug.connections import bound_zmq_silence
 from lacewinglug.control import (
     ConfigView,
     EntryHello,
@@ -40,6 +41,7 @@
         context = zmq.asyncio.Context.instance()
         socket = context.socket(zmq.DEALER)
         socket.linger = 0
+        bound_zmq_silence(socket)
         socket.connect(self.address)
         try:
             async with asyncio.TaskGroup() as group:
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -50,7 +50,7 @@
     :param stop_requested: starts the graceful shutdown when set.
     """
     async with aiohttp.ClientSession(connector=make_connector()) as session:
-        app = _build_app(
+        app = build_entry(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
@@ -90,7 +90,7 @@
     logger.info("entry stopped")
 
 
-def _build_app(
+def build_entry(
     *,
     settings: Settings,
     incarnation: str,
--- a/lacewinglug/entry/responses.py
+++ b/lacewinglug/entry/responses.py
@@ -1,15 +1,20 @@
 """HTTP responses that carry typed messages and failures."""
 
 import msgspec
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
 from starlette.responses import Response
 
 from lacewinglug.requests.outcomes import (
     NotRun,
+    OutcomeUnknown,
     RequestFailure,
     failure_body,
     failure_status,
 )
 
+ADDRESSES_HEADER = "X-Entry-Addresses"
+
 
 def message_response(message: object, *, status_code: int = 200) -> Response:
     """Return a message as a JSON response."""
@@ -47,3 +52,24 @@
         retry_after_s=0.0,
         status=404,
     )
+
+
+async def handle_http_error(request: Request, error: Exception) -> Response:
+    """Answer a request for a path or method that does not exist."""
+    assert isinstance(error, HTTPException)
+    refusal = NotRun(
+        reason=f"{request.method} {request.url.path}: {error.detail}",
+        remedy="use a path and method of docs/CALLERS.md",
+        retry_after_s=0.0,
+        status=error.status_code,
+    )
+    return failure_response(refusal)
+
+
+async def handle_defect(request: Request, error: Exception) -> Response:
+    """Answer a request whose handler failed; the server logs the error."""
+    failure = OutcomeUnknown(
+        reason="the entry host failed while it handled the request",
+        remedy="ask the service for the state before calling again",
+    )
+    return failure_response(failure)
--- a/lacewinglug/entry/server.py
+++ b/lacewinglug/entry/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Collection
 from typing import Any
 
@@ -12,6 +13,7 @@
 from lacewinglug.entry.shutdown import EntryShutdown
 from lacewinglug.settings import Settings
 
+KEEP_ALIVE_S = 5
 CLOSE_TIMEOUT_S = 5
 
 
@@ -40,8 +42,12 @@
         ws="none",
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
         log_config=None,
+        log_level=logging.ERROR,
         access_log=False,
         lifespan="off",
+        proxy_headers=False,
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     server = _Server(config)
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -7,6 +7,7 @@
 
 from lacewinglug.authority.replay import ControlState
 from lacewinglug.clock import Clock
+from lacewinglug.connections import make_connector
 from lacewinglug.membership.neighbours import HostTable
 from lacewinglug.metrics import Metrics
 from lacewinglug.platform.log import HttpLogClient
@@ -30,7 +31,7 @@
     :param metrics: counters.
     """
     state = ControlState()
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=make_connector()) as session:
         poller = RunnerPoller(
             client=RunnerClient(session=session),
             state=state,
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -9,6 +9,7 @@
 
 from lacewinglug.authority.replay import ControlState
 from lacewinglug.clock import Clock
+from lacewinglug.connections import bound_zmq_silence
 from lacewinglug.control import (
     ConfigView,
     ControlMessage,
@@ -64,6 +65,7 @@
         context = zmq.asyncio.Context.instance()
         socket = context.socket(zmq.ROUTER)
         socket.linger = 0
+        bound_zmq_silence(socket)
         socket.bind(self.endpoint)
         try:
             async with asyncio.TaskGroup() as group:
@@ -156,6 +158,7 @@
             peer = context.socket(zmq.DEALER)
             peer.linger = 0
             peer.sndhwm = 10
+            bound_zmq_silence(peer)
             peer.connect(f"tcp://{item.address}:{item.control_port}")
             self._peers[name] = peer
         for name in list(self._peers):
--- a/lacewinglug/ui/load.py
+++ b/lacewinglug/ui/load.py
@@ -9,6 +9,7 @@
 
 from lacewinglug.caller import CallerClient
 from lacewinglug.clock import SystemClock
+from lacewinglug.connections import make_connector
 from lacewinglug.errors import UserError
 from lacewinglug.load.driver import LoadDriver
 from lacewinglug.load.plan import LoadPlan, plan_arrivals, read_plan
@@ -45,7 +46,7 @@
 
 async def _run(plan: LoadPlan, entry: str, seed: int) -> LoadSummary:
     clock = SystemClock()
-    connector = aiohttp.TCPConnector(limit=0)
+    connector = make_connector()
     async with aiohttp.ClientSession(connector=connector) as session:
         caller = CallerClient(
             session=session,
--- /dev/null
+++ b/tests/entry/test_shutdown.py
@@ -0,0 +1,77 @@
+"""Tests of the graceful shutdown of an entry."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.entry.local import local_entry, wait_for
+from tests.streams import judge_answer
+
+PROMPT = "which bay is free"
+QUICK = ["entry.address_ttl_s=0.3", "entry.leave_notice_s=0.1"]
+
+
+async def fetch_addresses(entry):
+    async with entry.session.get(f"{entry.url}/v1/entries") as response:
+        return (await response.json())["addresses"]
+
+
+def order_stop(entry, order):
+    match order:
+        case "signal":
+            entry.stop.set()
+        case "drain":
+            entry.set_config(draining=["entry-1"])
+        case "withdraw":
+            entry.set_config(withdrawn=["entry-1"])
+
+
+@pytest.mark.parametrize("order", ["signal", "drain", "withdraw"])
+async def test_shutdown_cuts_nothing_and_refuses_truthfully(order):
+    async with local_entry(overrides=QUICK) as entry:
+        assert len(await fetch_addresses(entry)) == 2
+        async with entry.prompt(max_tokens=300) as running:
+            await running.content.readline()
+            order_stop(entry, order)
+            await wait_for(lambda: entry.app.intake.leaving)
+            other, *_ = await fetch_addresses(entry)
+            assert other != entry.url
+            async with entry.prompt(max_tokens=1) as kept:
+                lines = (await kept.read()).splitlines()
+                assert judge_answer(PROMPT, 1, lines) == ("answered", [])
+            await wait_for(lambda: entry.gate.refusing)
+            async with entry.prompt() as refused:
+                assert refused.status == 503
+                body = await refused.json()
+                assert body["outcome"] == "not_run"
+                assert other in body["remedy"]
+                assert refused.headers["X-Entry-Addresses"] == other
+            assert not entry.serving.done()
+            first = b'{"type":"token","index":0,"text":"a412133f "}'
+            lines = [first, *(await running.read()).splitlines()]
+            assert judge_answer(PROMPT, 300, lines) == ("answered", [])
+        await entry.serving
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await fetch_addresses(entry)
+
+
+async def test_streams_end_with_a_typed_line_at_the_deadline():
+    overrides = [*QUICK, "entry.drain_deadline_s=0.6"]
+    async with local_entry(overrides=overrides) as entry:
+        async with entry.prompt(max_tokens=5000) as running:
+            entry.stop.set()
+            lines = (await running.read()).splitlines()
+        await entry.serving
+        assert entry.shutdown.phase.value == "stopped"
+    assert judge_answer(PROMPT, 5000, lines) == ("failed_while_running", [])
+    assert b"deadline of its shutdown" in lines[-1]
+
+
+async def test_undone_drain_does_not_bring_a_leaving_host_back():
+    async with local_entry(overrides=QUICK) as entry:
+        entry.set_config(draining=["entry-1"])
+        await wait_for(lambda: entry.app.intake.leaving)
+        entry.set_config(draining=[])
+        async with asyncio.timeout(30.0):
+            await entry.serving
