--- a/lacewinglug/entry/link.py
+++ b/lacewinglug/entry/link.py
@@ -8,7 +8,6 @@
 import zmq
 import zmq.asyncio
 
-from lacewinglug.connections import bound_zmq_silence
 from lacewinglug.control import (
     ConfigView,
     EntryHello,
@@ -19,6 +18,8 @@
 from lacewinglug.entry.view import EntryView
 
 HELLO_INTERVAL_S = 0.5
+_KEEPALIVE_INTERVAL_MS = 1000
+_KEEPALIVE_TIMEOUT_MS = 3000
 
 logger = logging.getLogger(__name__)
 
@@ -41,7 +42,8 @@
         context = zmq.asyncio.Context.instance()
         socket = context.socket(zmq.DEALER)
         socket.linger = 0
-        bound_zmq_silence(socket)
+        socket.heartbeat_ivl = _KEEPALIVE_INTERVAL_MS
+        socket.heartbeat_timeout = _KEEPALIVE_TIMEOUT_MS
         socket.connect(self.address)
         try:
             async with asyncio.TaskGroup() as group:
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -27,11 +27,18 @@
     :param name: name of the host in the configuration.
     :param availability_zone: availability zone that the host stands in.
     :param address: IP number that the host listens on.
+    :param machine: machine that carries the host's name, empty for its address.
     """
 
     name: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]*$")]
     availability_zone: Annotated[str, Field(min_length=1)]
     address: Annotated[str, Field(min_length=1)]
+    machine: str
+
+    @property
+    def machine_name(self) -> str:
+        """Name of the machine in claims and replacements."""
+        return self.machine or self.address
 
 
 class PlatformSettings(_Section):
@@ -81,11 +88,23 @@
     :param control_port: TCP port for the local entry, peers and operators.
     :param poll_interval_s: time between two load polls of a runner, in seconds.
     :param log_wait_s: longest wait of one read of the log's tail, in seconds.
+    :param snapshot_interval_s: longest time between two snapshots of the control
+        stream, in seconds; a third of the time that the log keeps records.
+    :param claim_delay_s: time after the start before tenures are claimed, in
+        seconds.
+    :param drain_deadline_s: longest time that an engine is drained for a change
+        before the change is put off, in seconds.
+    :param order_settle_s: wait before the first order to an engine that ignores
+        fencing numbers, and after one whose answer was lost, in seconds.
     """
 
     control_port: Port
     poll_interval_s: PositiveSeconds
     log_wait_s: PositiveSeconds
+    snapshot_interval_s: PositiveSeconds
+    claim_delay_s: PositiveSeconds
+    drain_deadline_s: PositiveSeconds
+    order_settle_s: PositiveSeconds
 
 
 class LoggingSettings(_Section):
