--- a/tests/entry/test_prompts.py
+++ b/tests/entry/test_prompts.py
@@ -178,7 +178,7 @@
 
 async def test_engine_that_refuses_leaves_the_prompt_not_run():
     async with local_entry(names=("a",)) as entry:
-        entry.engines["a"].control.state = "changing"
+        entry.engines["a"].switch.faults.refuse = True
         async with entry.prompt() as response:
             assert response.status == 503
             assert (await response.json())["outcome"] == "not_run"
