--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -100,15 +100,21 @@
         :raises aiohttp.ClientError: no known entry host answers.
         """
         error: aiohttp.ClientError | None = None
+        reply: EntryAddresses | None = None
         for base_url in dict.fromkeys((*self.addresses, self.entry_url)):
             try:
-                return await self._fetch_from(base_url)
+                reply = await self._fetch_from(base_url)
             except TimeoutError:
                 error = aiohttp.ServerTimeoutError(f"{base_url} does not answer")
             except aiohttp.ClientError as caught:
                 error = caught
-        assert error is not None
-        raise error
+            if reply is not None and reply.addresses:
+                self.addresses = reply.addresses
+                self._keep_until_s = self.clock.now_s() + reply.ttl_s
+                return reply
+        if reply is None:
+            raise error or aiohttp.ClientError("no entry host is known")
+        return reply
 
     async def _fetch_from(self, base_url: str) -> EntryAddresses:
         async with self.session.get(
@@ -117,10 +123,7 @@
             timeout=_SHORT_TIMEOUT,
             raise_for_status=True,
         ) as response:
-            reply = msgspec.json.decode(await response.read(), type=EntryAddresses)
-        self.addresses = reply.addresses
-        self._keep_until_s = self.clock.now_s() + reply.ttl_s
-        return reply
+            return msgspec.json.decode(await response.read(), type=EntryAddresses)
 
     async def _find_entries(self, *, failed: list[str] | None = None) -> list[str]:
         """Return the entry hosts to use, best first.
--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -164,6 +164,13 @@
             )
         return self._check_organisation(organisation)
 
+    def _is_ready(self) -> bool:
+        """Return whether the steward told the configuration and the runners' load."""
+        view = self.intake.view
+        if view.config is None:
+            return False
+        return bool(view.runners) or not view.fleet.runners
+
     def _check_organisation(self, organisation: str) -> NotRun | None:
         """Return a refusal where an organisation has too much in progress."""
         item = self.intake.view.fleet.organisations.get(organisation)
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -1,10 +1,14 @@
 """Tests of the graceful shutdown of an entry."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
 
+from lacewinglug.entry import server
+from lacewinglug.entry.gate import Gate
+from lacewinglug.entry.shutdown import EntryShutdown
 from tests.entry.local import local_entry, wait_for
 from tests.streams import judge_answer
 
@@ -75,3 +79,24 @@
         entry.set_config(draining=[])
         async with asyncio.timeout(30.0):
             await entry.serving
+
+
+async def test_judge_fails_a_mutant_that_does_not_wait(monkeypatch):
+    async def give_up_waiting(self, condition):
+        while not self.stop_requested.is_set():
+            await asyncio.sleep(0.01)
+
+    monkeypatch.setattr(EntryShutdown, "_wait", give_up_waiting)
+    monkeypatch.setattr(EntryShutdown, "_end_requests", asyncio.Event().wait)
+    monkeypatch.setattr(Gate, "active", 0)
+    monkeypatch.setattr(server, "CLOSE_TIMEOUT_S", 1)
+    async with local_entry(overrides=QUICK) as entry:
+        async with entry.prompt(max_tokens=5000) as running:
+            entry.stop.set()
+            lines = []
+            with contextlib.suppress(aiohttp.ClientError):
+                async for line in running.content:
+                    lines.append(line)
+        await entry.serving
+    _, problems = judge_answer(PROMPT, 5000, lines)
+    assert problems == ["neither an end nor a failure"]
