--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from lacewinglug.clock import Clock, SystemClock
+from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
 from lacewinglug.entry.calls import KeyReply
 from lacewinglug.entry.intake import CALLER_HEADER, REGION_HEADER
 from lacewinglug.entry.responses import ADDRESSES_HEADER
@@ -79,6 +80,7 @@
     :param entry_url: any entry host, to ask for addresses.
     :param organisation: name of the organisation.
     :param region: region of the caller.
+    :param key: key of the organisation, empty where none is declared.
     :param clock: source of time.
     """
 
@@ -86,13 +88,17 @@
     entry_url: str
     organisation: str
     region: str
+    key: str = field(default="", repr=False)
     clock: Clock = field(default_factory=SystemClock)
     addresses: list[str] = field(default_factory=list)
     _keep_until_s: float = 0.0
     _refresh: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def _headers(self) -> dict[str, str]:
-        return {CALLER_HEADER: self.organisation, REGION_HEADER: self.region}
+        headers = {CALLER_HEADER: self.organisation, REGION_HEADER: self.region}
+        if self.key:
+            headers[AUTHORIZATION_HEADER] = f"Bearer {self.key}"
+        return headers
 
     async def fetch_addresses(self) -> EntryAddresses:
         """Ask which entry hosts to use, and keep the answer for its time to live.
@@ -197,9 +203,16 @@
             raise _NextEntryError(cause=error) from None
 
     async def mint_key(self) -> str:
-        """Return a key for a call that may not be repeated."""
-        async with self.session.post(f"{self._entry}/v1/keys") as response:
-            return msgspec.json.decode(await response.read(), type=KeyReply).key
+        """Return a key for a call that may not be repeated.
+
+        :raises AnswerFailedError: the entry mints no key.
+        """
+        url = f"{self._entry}/v1/keys"
+        async with self.session.post(url, headers=self._headers()) as response:
+            content = await response.read()
+        if response.status != 201:
+            raise AnswerFailedError(msgspec.json.decode(content, type=FailureBody))
+        return msgspec.json.decode(content, type=KeyReply).key
 
     async def send_call(
         self, service: str, kind: str, body: str, *, key: str = ""
--- a/lacewinglug/connections.py
+++ b/lacewinglug/connections.py
@@ -35,11 +35,16 @@
         connection.setsockopt(level, name, value)
 
 
-def make_connector(*, limit: int = 0) -> aiohttp.TCPConnector:
+def make_connector(*, limit: int = 0, reuse: bool = True) -> aiohttp.TCPConnector:
     """Return a pool that hands out no connection that has been quiet for long.
 
     :param limit: connections at the same time, 0 for no limit.
+    :param reuse: whether a connection may carry more than one request.
     """
+    if not reuse:
+        return aiohttp.TCPConnector(
+            limit=limit, force_close=True, socket_factory=_make_socket
+        )
     return aiohttp.TCPConnector(
         limit=limit, keepalive_timeout=POOL_IDLE_S, socket_factory=_make_socket
     )
--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -18,6 +18,7 @@
 from lacewinglug.settings import EntrySettings
 from lacewinglug.upstream.client import KEY_HEADER
 
+INTERNAL_PATH = "/internal/"
 _CALLER = CALLER_HEADER.lower().encode()
 _KEY = KEY_HEADER.lower().encode()
 _LENGTH = b"content-length"
@@ -83,7 +84,9 @@
             return
         headers = dict(scope["headers"])
         organisation = headers.get(_CALLER, b"").decode("latin-1")
-        refusal = self._find_refusal(headers, organisation)
+        refusal = None
+        if not scope["path"].startswith(INTERNAL_PATH):
+            refusal = self._find_refusal(headers, organisation)
         if refusal is not None:
             await _discard_body(receive)
             await self._refuse(refusal, scope, receive, send)
