--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -52,7 +52,7 @@
         aiohttp.ClientSession(connector=make_connector()) as session,
         aiohttp.ClientSession(connector=make_connector(reuse=False)) as fresh_session,
     ):
-        app, calls = _build_app(
+        app, calls = build_entry(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
@@ -95,7 +95,7 @@
     logger.info("entry stopped")
 
 
-def _build_app(
+def build_entry(
     *,
     settings: Settings,
     incarnation: str,
--- a/lacewinglug/entry/responses.py
+++ b/lacewinglug/entry/responses.py
@@ -3,15 +3,19 @@
 import math
 
 import msgspec
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
 from starlette.responses import Response
 
 from lacewinglug.requests.outcomes import (
     NotRun,
+    OutcomeUnknown,
     RequestFailure,
     failure_body,
     failure_status,
 )
 
+ADDRESSES_HEADER = "X-Entry-Addresses"
 _UNAUTHORIZED = 401
 
 
@@ -53,3 +57,24 @@
         retry_after_s=0.0,
         status=404,
     )
+
+
+async def handle_http_error(request: Request, error: Exception) -> Response:
+    """Answer a request for a path or method that does not exist."""
+    assert isinstance(error, HTTPException)
+    refusal = NotRun(
+        reason=f"{request.method} {request.url.path}: {error.detail}",
+        remedy="use a path and method of docs/CALLERS.md",
+        retry_after_s=0.0,
+        status=error.status_code,
+    )
+    return failure_response(refusal)
+
+
+async def handle_defect(request: Request, error: Exception) -> Response:
+    """Answer a request whose handler failed; the server logs the error."""
+    failure = OutcomeUnknown(
+        reason="the entry host failed while it handled the request",
+        remedy="ask the service for the state before calling again",
+    )
+    return failure_response(failure)
