--- a/lacewinglug/requests/intent_claims.py
+++ b/lacewinglug/requests/intent_claims.py
@@ -27,6 +27,7 @@
 _RETRY_DELAY_S = 0.3
 _MAX_ABANDONED = 1_000
 _MAX_BATCH_INTENTS = 500
+_SOLE_CLAIMANT_S = 60.0
 _READ_INTERVAL_S = 2.0
 _MAX_PAUSE_S = 3.0
 
@@ -98,6 +99,7 @@
     _abandoned: set[str] = field(default_factory=set)
     _task: asyncio.Task[None] | None = None
     _last_append_s: float = float("-inf")
+    _last_foreign_s: float = float("-inf")
     _reading: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
@@ -131,7 +133,7 @@
         self._pending.append(pending)
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._append_pending())
-        return await pending.claim
+        return await asyncio.shield(pending.claim)
 
     def verdict(self, call_id: str) -> Claim | None:
         """Return the verdict on a key that has a holder, else None.
@@ -169,7 +171,9 @@
             return True
         now_s = self.clock.wall_s()
         for stored in reply.records:
-            self.index.apply(stored, now_s=now_s)
+            batch = self.index.apply(stored, now_s=now_s)
+            if batch is not None and batch.incarnation != self.ids.incarnation:
+                self._last_foreign_s = max(self._last_foreign_s, batch.written_at_s)
         return bool(reply.records)
 
     async def _append_pending(self) -> None:
@@ -184,6 +188,10 @@
                 await self._settle(batch)
             except PlatformError as error:
                 self._fail(batch, str(error))
+            except Exception as error:
+                self._abandon(batch)
+                self._fail(batch, f"a fault of the entry: {error!r}")
+                raise
 
     async def _settle(self, batch: list[PendingIntent]) -> None:
         """Append the intents of a batch and tell everyone the verdict."""
@@ -264,6 +272,15 @@
         # A batch holds a key of its own unless every key was claimed before it.
         return all(intent.call_id in self.index.held for intent in record.intents)
 
+    def _is_complete(self) -> bool:
+        """Return whether no other process is likely to hold keys unseen.
+
+        Others that claimed keys of the shard lately may have claimed more since
+        the log was read.
+        """
+        since_s = self.clock.wall_s() - _SOLE_CLAIMANT_S
+        return self.loaded and self._last_foreign_s < since_s
+
     def _abandon(self, batch: list[PendingIntent]) -> None:
         """Remember that this process sent nothing for intents that may stand."""
         for pending in batch:
@@ -275,7 +292,7 @@
         self.metrics.count("calls.claims_failed", len(batch))
         for pending in batch:
             if not pending.claim.done():
-                claim = ClaimFailed(reason=reason, complete=self.loaded)
+                claim = ClaimFailed(reason=reason, complete=self._is_complete())
                 pending.claim.set_result(claim)
 
 
--- a/lacewinglug/requests/intents.py
+++ b/lacewinglug/requests/intents.py
@@ -101,22 +101,23 @@
     held: dict[str, HeldKey] = field(default_factory=dict)
     undecodable: int = 0
 
-    def apply(self, stored: StoredRecord, *, now_s: float) -> None:
+    def apply(self, stored: StoredRecord, *, now_s: float) -> IntentBatch | None:
         """Replay one record; a later intent of a held key has no effect.
 
         :param stored: the record.
         :param now_s: time of the clock on the wall, in seconds.
+        :returns: the batch, or None when it was read before or cannot be read.
         """
         if stored.offset < self.next_offset:
-            return
+            return None
         self.next_offset = stored.offset + 1
         try:
             batch = _decoder.decode(stored.data)
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.undecodable += 1
-            return
+            return None
         if batch.written_at_s < now_s - self.window_s:
-            return
+            return batch
         holder = Holder(
             host=batch.host,
             incarnation=batch.incarnation,
@@ -126,6 +127,7 @@
         for intent in batch.intents:
             held = HeldKey(holder=holder, fingerprint=intent.fingerprint)
             self.held.setdefault(intent.call_id, held)
+        return batch
 
     def forget_old(self, *, now_s: float) -> None:
         """Forget the keys that are older than the window."""
--- a/lacewinglug/requests/peers.py
+++ b/lacewinglug/requests/peers.py
@@ -60,7 +60,3 @@
     def claimant_of(self, shard: int) -> str:
         """Return the host that claims the keys of a shard."""
         ...
-
-    def host_count(self) -> int:
-        """Return the number of entry hosts."""
-        ...
--- a/lacewinglug/requests/refusals.py
+++ b/lacewinglug/requests/refusals.py
@@ -43,8 +43,10 @@
 def log_unavailable(reason: str) -> NotRun:
     """Return the refusal of a caller's own key while the log does not answer."""
     return NotRun(
-        reason=f"a caller's own key needs the platform's log: {reason}",
-        remedy=f"{_MINT}, or repeat with the same key after the retry time",
+        reason="this copy of the call was not sent, as a caller's own key needs "
+        f"the platform's log: {reason}",
+        remedy=f"{_MINT}, or, when a copy was sent before, repeat with the same "
+        "key after the retry time",
         repeat_with="same_key",
     )
 
