--- a/lacewinglug/entry/calls.py
+++ b/lacewinglug/entry/calls.py
@@ -9,7 +9,7 @@
 
 from lacewinglug.config.objects import RequestKind
 from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
-from lacewinglug.entry.intake import ANSWERED, CALLER_HEADER, Intake
+from lacewinglug.entry.intake import CALLER_HEADER, Intake
 from lacewinglug.entry.peers import (
     CALLER_AUTHORIZATION_HEADER,
     INCARNATION_HEADER,
@@ -21,6 +21,7 @@
     message_response,
     unknown_kind,
 )
+from lacewinglug.report.recorder import ANSWERED
 from lacewinglug.requests.calls import Call, CallRunner
 from lacewinglug.requests.keyed_calls import KeyedCalls
 from lacewinglug.requests.ledger import CallResult
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -27,11 +27,18 @@
     :param name: name of the host in the configuration.
     :param availability_zone: availability zone that the host stands in.
     :param address: IP number that the host listens on.
+    :param machine: machine that carries the host's name, empty for its address.
     """
 
     name: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]*$")]
     availability_zone: Annotated[str, Field(min_length=1)]
     address: Annotated[str, Field(min_length=1)]
+    machine: str
+
+    @property
+    def machine_name(self) -> str:
+        """Name of the machine in claims and replacements."""
+        return self.machine or self.address
 
 
 class PlatformSettings(_Section):
@@ -52,16 +59,27 @@
 
     :param port: TCP port for callers.
     :param address_ttl_s: how long a caller may keep an entry address, in seconds.
+    :param leave_notice_s: time until every host knows that this one leaves, in
+        seconds.
     :param drain_deadline_s: longest shutdown, in seconds.
     :param default_timeout_s: timeout of a request that names none, in seconds.
     :param max_body_bytes: largest request body, in bytes.
+    :param max_concurrent_requests: requests in progress at this host.
+    :param receive_timeout_s: longest wait for a request to arrive whole, in
+        seconds.
+    :param caller_stall_timeout_s: longest wait for a caller to read what was sent,
+        in seconds.
     """
 
     port: Port
     address_ttl_s: PositiveSeconds
+    leave_notice_s: PositiveSeconds
     drain_deadline_s: PositiveSeconds
     default_timeout_s: PositiveSeconds
     max_body_bytes: Annotated[int, Field(ge=1024)]
+    max_concurrent_requests: Annotated[int, Field(ge=1)]
+    receive_timeout_s: PositiveSeconds
+    caller_stall_timeout_s: PositiveSeconds
 
 
 class StewardSettings(_Section):
@@ -70,11 +88,23 @@
     :param control_port: TCP port for the local entry, peers and operators.
     :param poll_interval_s: time between two load polls of a runner, in seconds.
     :param log_wait_s: longest wait of one read of the log's tail, in seconds.
+    :param snapshot_interval_s: longest time between two snapshots of the control
+        stream, in seconds; a third of the time that the log keeps records.
+    :param claim_delay_s: time after the start before tenures are claimed, in
+        seconds.
+    :param drain_deadline_s: longest time that an engine is drained for a change
+        before the change is put off, in seconds.
+    :param order_settle_s: wait before the first order to an engine that ignores
+        fencing numbers, and after one whose answer was lost, in seconds.
     """
 
     control_port: Port
     poll_interval_s: PositiveSeconds
     log_wait_s: PositiveSeconds
+    snapshot_interval_s: PositiveSeconds
+    claim_delay_s: PositiveSeconds
+    drain_deadline_s: PositiveSeconds
+    order_settle_s: PositiveSeconds
 
 
 class CallSettings(_Section):
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -2,19 +2,28 @@
 
 import asyncio
 import logging
+import random
 
 import aiohttp
 
-from lacewinglug.authority.replay import ControlState
+from lacewinglug.authority.state import ControlState
 from lacewinglug.clock import Clock
-from lacewinglug.membership.neighbours import HostTable
+from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
+from lacewinglug.platform.hosts import HttpHostListClient
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
+from lacewinglug.steward.hosts import HostListWatcher
+from lacewinglug.steward.known_hosts import KnownHosts
+from lacewinglug.steward.order_setup import make_order_manager
+from lacewinglug.steward.peers import PeerExchange
 from lacewinglug.steward.poller import RunnerPoller
+from lacewinglug.steward.replica import Replica
 from lacewinglug.steward.server import ControlServer
 from lacewinglug.steward.tail import LogTail
+from lacewinglug.steward.upkeep import SnapshotKeeper
 from lacewinglug.upstream.client import RunnerClient
+from lacewinglug.upstream.orders import make_order_session
 
 logger = logging.getLogger(__name__)
 
@@ -29,8 +38,14 @@
     :param clock: source of time.
     :param metrics: counters.
     """
+    host = settings.host.name
     state = ControlState()
-    async with aiohttp.ClientSession() as session:
+    replica = Replica(state=state)
+    async with (
+        aiohttp.ClientSession() as session,
+        make_order_session() as order_session,
+    ):
+        log = HttpLogClient(session=session, base_url=settings.platform.log_url)
         poller = RunnerPoller(
             client=RunnerClient(session=session),
             state=state,
@@ -38,26 +53,74 @@
             interval_s=settings.steward.poll_interval_s,
             metrics=metrics,
         )
+        exchange = PeerExchange(host=host, replica=replica)
+        host_list = HttpHostListClient(
+            session=session, base_url=settings.platform.host_list_url
+        )
+        watcher = HostListWatcher(
+            host=host,
+            client=host_list,
+            live_hosts=exchange.table.live,
+            clock=clock,
+            metrics=metrics,
+        )
         server = ControlServer(
-            host=settings.host.name,
-            incarnation=incarnation,
+            host=host,
             endpoint=f"tcp://{settings.host.address}:{settings.steward.control_port}",
-            state=state,
+            exchange=exchange,
             poller=poller,
-            table=HostTable(),
+            listed_leaving=lambda: watcher.leaving,
             clock=clock,
             metrics=metrics,
         )
+        replica.listeners.append(server.notify_config)
         tail = LogTail(
-            log=HttpLogClient(session=session, base_url=settings.platform.log_url),
-            state=state,
+            log=log,
+            replica=replica,
             clock=clock,
             wait_s=settings.steward.log_wait_s,
-            on_change=server.notify_config,
+            on_records=server.hand_on,
+            metrics=metrics,
+        )
+        keeper = SnapshotKeeper(
+            host=host,
+            incarnation=incarnation,
+            machine=settings.host.machine_name,
+            state=state,
+            log=log,
+            live_hosts=server.live_hosts,
+            interval_s=settings.steward.snapshot_interval_s,
+            clock=clock,
+            metrics=metrics,
+            ids=IdFactory(host=f"{host}-upkeep", incarnation=incarnation),
+        )
+        known_hosts = KnownHosts(
+            host=host,
+            state=state,
+            live_hosts=server.live_hosts,
+            client=host_list,
+            clock=clock,
+            metrics=metrics,
+        )
+        manager = make_order_manager(
+            settings=settings,
+            incarnation=incarnation,
+            state=state,
+            log=log,
+            known_hosts=known_hosts.knowledge,
+            reports=poller.latest,
+            clock=clock,
             metrics=metrics,
+            order_session=order_session,
+            rng=random.Random(incarnation),
         )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
             group.create_task(tail.run())
             group.create_task(poller.run())
             group.create_task(server.run())
+            group.create_task(watcher.run())
+            group.create_task(known_hosts.run())
+            await server.bound.wait()
+            group.create_task(keeper.run())
+            group.create_task(manager.run())
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -8,13 +8,13 @@
 from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
 from lacewinglug.errors import UserError
 from lacewinglug.ui.common import (
-    EXIT_UNAVAILABLE,
     admin_key_option,
     echo_json,
     entry_option,
     json_option,
     run_async,
 )
+from lacewinglug.ui.errors import EXIT_UNAVAILABLE
 
 _TIMEOUT_S = 5.0
 
