Prove calls under kills, pauses, cuts and late or swapped replies

Refusals before the key is looked at say repeat_with = same_key, and a host that shuts down still answers the keys that only it may run: the gate parsed the new form of keys as foreign.

--- a/lacewinglug/entry/calls.py
+++ b/lacewinglug/entry/calls.py
@@ -9,10 +9,9 @@
 
 from lacewinglug.config.objects import RequestKind
 from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
-from lacewinglug.entry.intake import CALLER_HEADER, Intake
+from lacewinglug.entry.intake import CALLER_HEADER, INCARNATION_HEADER, Intake
 from lacewinglug.entry.peers import (
     CALLER_AUTHORIZATION_HEADER,
-    INCARNATION_HEADER,
     PeerAnswer,
     make_answer,
 )
@@ -25,7 +24,7 @@
 from lacewinglug.requests.calls import Call, CallRunner
 from lacewinglug.requests.keyed_calls import KeyedCalls
 from lacewinglug.requests.ledger import CallResult
-from lacewinglug.requests.outcomes import NotRun, outcome_name
+from lacewinglug.requests.outcomes import NotRun, open_key, outcome_name
 from lacewinglug.requests.peers import NotOwnerError, PeerStep
 from lacewinglug.requests.refusals import foreign_key
 from lacewinglug.upstream.client import KEY_HEADER
@@ -61,13 +60,10 @@
 
     async def handle(self, request: Request) -> Response:
         """Run a call at a plain service."""
-        refusal = self.intake.refuse_caller(request)
-        if refusal is not None:
-            return failure_response(refusal)
-        kind = self._find_kind(request)
-        if isinstance(kind, NotRun):
-            return failure_response(kind)
         key = request.headers.get(KEY_HEADER, "")
+        kind = self.intake.refuse_caller(request) or self._find_kind(request)
+        if isinstance(kind, NotRun):
+            return failure_response(open_key(kind) if key else kind)
         if not key and not kind.idempotent:
             key = self.keyed.minter.mint(request.headers.get(CALLER_HEADER, ""))
         authorization = request.headers.get(AUTHORIZATION_HEADER, "")
@@ -93,12 +89,15 @@
             request, kind, headers.get(KEY_HEADER, ""), authorization
         )
         incarnation = headers.get(INCARNATION_HEADER, "")
+        self.intake.running += 1
         try:
             result = await self.keyed.answer_peer(
                 call, incarnation=incarnation, step=step
             )
         except NotOwnerError:
             return message_response(PeerAnswer(key=call.key, is_owner=False))
+        finally:
+            self.intake.running -= 1
         return message_response(make_answer(call.key, result))
 
     def _find_kind(self, request: Request) -> RequestKind | NotRun:
--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -6,15 +6,16 @@
 
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from lacewinglug.entry.intake import CALLER_HEADER, Intake
+from lacewinglug.entry.intake import CALLER_HEADER, INCARNATION_HEADER, Intake
 from lacewinglug.entry.responses import failure_response
-from lacewinglug.ids import MintedId
-from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown
+from lacewinglug.requests.keys import MintedKey
+from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown, open_key
 from lacewinglug.settings import EntrySettings
 from lacewinglug.upstream.client import KEY_HEADER
 
 _CALLER = CALLER_HEADER.lower().encode()
 _KEY = KEY_HEADER.lower().encode()
+_INCARNATION = INCARNATION_HEADER.lower().encode()
 _LENGTH = b"content-length"
 ADDRESSES_HEADER = "X-Entry-Addresses"
 
@@ -106,6 +107,8 @@
         self, refusal: NotRun, scope: Scope, receive: Receive, send: Send
     ) -> None:
         self.intake.metrics.count(f"requests.refused.{refusal.status}")
+        if any(name == _KEY for name, _ in scope["headers"]):
+            refusal = open_key(refusal)
         response = failure_response(refusal)
         if self.refusing:
             response.headers[ADDRESSES_HEADER] = ", ".join(self.addresses)
@@ -147,9 +150,11 @@
 
     def _owns_key(self, headers: dict[bytes, bytes]) -> bool:
         """Return whether only this process can answer a call's key."""
-        minted = MintedId.parse(headers.get(_KEY, b"").decode("latin-1"))
-        ids = self.intake.ids
-        return minted is not None and minted.incarnation == ids.incarnation
+        incarnation = self.intake.ids.incarnation
+        if headers.get(_INCARNATION, b"").decode("latin-1") == incarnation:
+            return True
+        minted = MintedKey.parse(headers.get(_KEY, b"").decode("latin-1"))
+        return minted is not None and minted.owner.incarnation == incarnation
 
 
 @dataclass(kw_only=True)
--- a/lacewinglug/entry/intake.py
+++ b/lacewinglug/entry/intake.py
@@ -16,6 +16,7 @@
 
 CALLER_HEADER = "X-Caller"
 REGION_HEADER = "X-Region"
+INCARNATION_HEADER = "X-Incarnation"
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
--- a/lacewinglug/entry/peers.py
+++ b/lacewinglug/entry/peers.py
@@ -9,7 +9,7 @@
 
 from lacewinglug.clock import Clock
 from lacewinglug.entry.authentication import AUTHORIZATION_HEADER
-from lacewinglug.entry.intake import CALLER_HEADER
+from lacewinglug.entry.intake import CALLER_HEADER, INCARNATION_HEADER
 from lacewinglug.entry.view import EntryView
 from lacewinglug.requests.calls import Call
 from lacewinglug.requests.intents import SHARD_COUNT
@@ -25,9 +25,9 @@
 from lacewinglug.upstream.messages import CallReply
 
 CALLER_AUTHORIZATION_HEADER = "X-Caller-Authorization"
-INCARNATION_HEADER = "X-Incarnation"
 _CONNECT_TIMEOUT_S = 2.0
 _MARGIN_S = 1.0
+_REFUSED_STATUSES = frozenset({401, 403, 404, 408, 413, 429, 503})
 
 
 class PeerAnswer(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -121,7 +121,10 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             raise PeerError(f"no answer: {error!r}", sent=True) from None
         if response.status != 200:
-            raise PeerError(f"answered status {response.status}", sent=True)
+            raise PeerError(
+                f"answered status {response.status}",
+                sent=response.status not in _REFUSED_STATUSES,
+            )
         try:
             answer = msgspec.json.decode(content, type=PeerAnswer)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
--- a/lacewinglug/requests/outcomes.py
+++ b/lacewinglug/requests/outcomes.py
@@ -1,6 +1,6 @@
 """Typed outcomes of a request, and how a caller sees them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Literal
 
 import msgspec
@@ -60,6 +60,11 @@
 RequestFailure = NotRun | OutcomeUnknown | FailedWhileRunning
 
 
+def open_key(refusal: NotRun) -> NotRun:
+    """Return the refusal of one copy of a keyed call, which leaves the key open."""
+    return replace(refusal, repeat_with=refusal.repeat_with or "same_key")
+
+
 class FailureBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Body of a failed answer.
 
--- a/lacewinglug/standin/faults.py
+++ b/lacewinglug/standin/faults.py
@@ -19,6 +19,10 @@
     :param lose_replies: number of next replies lost after the effect.
     :param refuse: refuse every request with status 503.
     :param crash_after: requests until the process ends, 0 for never.
+    :param late_replies: number of next replies that come late.
+    :param late_s: delay of a late reply, in seconds.
+    :param swap_replies: number of next replies exchanged with one another; each
+        waits for the next one.
     """
 
     delay_s: float = 0.0
@@ -26,6 +30,9 @@
     lose_replies: int = 0
     refuse: bool = False
     crash_after: int = 0
+    late_replies: int = 0
+    late_s: float = 0.0
+    swap_replies: int = 0
 
 
 @dataclass(kw_only=True)
@@ -49,7 +56,10 @@
         return None
 
     async def after(self) -> None:
-        """Lose the reply after the effect of a request."""
+        """Lose or delay the reply after the effect of a request."""
+        if self.faults.late_replies > 0:
+            self.faults.late_replies -= 1
+            await asyncio.sleep(self.faults.late_s)
         if self.faults.lose_replies > 0:
             self.faults.lose_replies -= 1
             await asyncio.sleep(_SILENCE_S)
--- a/lacewinglug/standin/service.py
+++ b/lacewinglug/standin/service.py
@@ -14,6 +14,18 @@
 KEY_HEADER = "idempotency-key"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SwappedReply:
+    """A reply that waits for another one to be exchanged with.
+
+    :param reply: the reply.
+    :param answer: becomes the other reply.
+    """
+
+    reply: CallReply
+    answer: asyncio.Future[CallReply]
+
+
 @dataclass(kw_only=True)
 class ServiceStandin:
     """A plain service that writes every call into a journal.
@@ -25,6 +37,7 @@
     running: int = 0
     journal: list[CallRequest] = field(default_factory=list)
     switch: FaultSwitch = field(default_factory=lambda: FaultSwitch(faults=Faults()))
+    _swapping: SwappedReply | None = None
 
     async def handle_load(self, request: Request) -> Response:
         """Report the load."""
@@ -45,8 +58,25 @@
             await asyncio.sleep(self.service_time_s)
         finally:
             self.running -= 1
+        reply = CallReply(key=key, result=f"done {call.path} {body}")
         await self.switch.after()
-        return json_response(CallReply(key=key, result=f"done {call.path} {body}"))
+        return json_response(await self._swap(reply))
+
+    async def _swap(self, reply: CallReply) -> CallReply:
+        """Exchange a reply with the next one, where the fault switch says so."""
+        faults = self.switch.faults
+        if self._swapping is not None:
+            other, self._swapping = self._swapping, None
+            other.answer.set_result(reply)
+            return other.reply
+        if faults.swap_replies <= 0:
+            return reply
+        faults.swap_replies -= 1
+        waiting = SwappedReply(
+            reply=reply, answer=asyncio.get_running_loop().create_future()
+        )
+        self._swapping = waiting
+        return await waiting.answer
 
     async def handle_journal(self, request: Request) -> Response:
         """Return every call received."""
