--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lacewinglug.standin.relay import TcpRelay
-from tests.entry.call_stage import HOSTS, SERVICE, CallStage, deploy
+from tests.entry.call_stage import HOSTS, RUNNER, SERVICE, CallStage, deploy
 
 pytestmark = pytest.mark.processes
 
@@ -18,6 +18,7 @@
     deployment, service_port, relay_port = deploy(tmp_path_factory.mktemp("calls"))
     with deployment:
         yield deployment, service_port, relay_port
+        deployment.processes.pop(RUNNER).kill()
 
 
 @pytest.fixture
