--- a/lacewinglug/requests/keyed_calls.py
+++ b/lacewinglug/requests/keyed_calls.py
@@ -31,6 +31,7 @@
     is_valid_key,
     key_time_s,
     own_key_id,
+    resembles_minted,
 )
 from lacewinglug.requests.ledger import (
     CallLedger,
@@ -146,6 +147,8 @@
         """Answer a call under a caller's own key."""
         if not is_valid_key(call.key):
             return Failure(malformed_key())
+        if resembles_minted(call.key):
+            return Failure(foreign_key())
         remembered = self.ledger.find(_own_id(call))
         if remembered is not None:
             return await self._repeat(call, remembered)
--- a/lacewinglug/requests/keys.py
+++ b/lacewinglug/requests/keys.py
@@ -41,6 +41,12 @@
     return 0 < len(text) <= _MAX_KEY_LENGTH and text.isascii() and text.isprintable()
 
 
+def resembles_minted(text: str) -> bool:
+    """Return whether a text starts like a minted key, such as one cut short."""
+    prefix = ".".join(text.split(".")[:3])
+    return MintedId.parse(prefix) is not None
+
+
 def own_key_id(*, organisation: str, service: str, key: str) -> str:
     """Return the id of a caller's own key, apart for each organisation and service."""
     return _digest("own", organisation, service, key)
--- a/tests/requests/test_keyed_calls.py
+++ b/tests/requests/test_keyed_calls.py
@@ -209,6 +209,10 @@
     return await fleet.send("entry-0", fleet.mint("entry-0"), b"a", "south")
 
 
+async def cut_key_short(fleet):
+    return await fleet.send("entry-1", fleet.mint("entry-0")[:-1], b"a")
+
+
 async def change_body(fleet):
     key = fleet.mint("entry-0")
     await fleet.send("entry-0", key, b"a")
@@ -250,6 +254,7 @@
     ("scenario", "expected", "runs"),
     [
         (forge, (400, "new_key"), 0),
+        (cut_key_short, (400, "new_key"), 0),
         (steal, (400, "new_key"), 0),
         (change_body, (422, "new_key"), 1),
         (change_body_of_own_key, (422, "new_key"), 1),
