--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -99,7 +99,7 @@
         now_s = self.simulation.loop.now_s
         engine = self.simulation.by_name[placement.runner.name]
         job.lane = placement.lane
-        job.priority = placement.priority
+        job.priority = placement.priority if self.settings.priorities else 0
         job.split = placement.decode_runner is not placement.runner
         job.sent_s = now_s
         job.predicted_first_s = placement.first_token_s
@@ -117,13 +117,17 @@
             lane=job.lane,
             prefill_tokens=prefill_tokens,
             now_s=self.simulation.loop.now_s,
+            priority=job.priority,
         )
 
     def note_first_token(self, job: Job, engine: Engine) -> None:
         """Note a first token; move the stream on where wanted."""
         now_s = self.simulation.loop.now_s
         self.policy.note_computed(
-            engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+            engine.name,
+            prefill_tokens=job.noted_prefill,
+            now_s=now_s,
+            priority=job.priority,
         )
         job.noted_prefill = 0
         self.policy.note_first_token(
@@ -156,7 +160,10 @@
         now_s = self.simulation.loop.now_s
         if job.noted_prefill:
             self.policy.note_computed(
-                engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+                engine.name,
+                prefill_tokens=job.noted_prefill,
+                now_s=now_s,
+                priority=job.priority,
             )
             job.noted_prefill = 0
         self.policy.note_closed(
--- a/lacewinglug/entry/dispatch.py
+++ b/lacewinglug/entry/dispatch.py
@@ -66,7 +66,10 @@
 
     def _note_first_token(self, policy: RoutingPolicy, now_s: float) -> None:
         policy.note_computed(
-            self.runner, prefill_tokens=self.placement.prefill_tokens, now_s=now_s
+            self.runner,
+            prefill_tokens=self.placement.prefill_tokens,
+            now_s=now_s,
+            priority=self.priority,
         )
         policy.note_first_token(
             self.runner,
@@ -84,7 +87,10 @@
         now_s = self._dispatcher.clock.now_s()
         if self._last_token_s < 0:
             policy.note_computed(
-                self.runner, prefill_tokens=self.placement.prefill_tokens, now_s=now_s
+                self.runner,
+                prefill_tokens=self.placement.prefill_tokens,
+                now_s=now_s,
+                priority=self.priority,
             )
         if not succeeded and self.placement.runner.does == "plain":
             policy.note_failed(self.runner, now_s=now_s)
@@ -190,6 +196,7 @@
             lane=placement.lane,
             prefill_tokens=placement.prefill_tokens,
             now_s=now_s,
+            priority=placement.priority,
         )
         policy.note_prefix(runner, profile.prefix_hashes)
         return Dispatch(
--- a/lacewinglug/routing/admission.py
+++ b/lacewinglug/routing/admission.py
@@ -6,10 +6,9 @@
 _OFFERED_SMOOTHING_S = 1.0
 _BUCKETS_PER_DOUBLING = 4
 _WAIT_SMOOTHING_S = 0.3
-_FEEDBACK_PER_S = 1.0
-_MAX_FEEDBACK_STEP = 0.5
-_MIN_FEEDBACK = 0.3
-_MAX_FEEDBACK = 1.5
+_DRAIN_S = 2.0
+_MIN_CORRECTION = 0.3
+_MAX_CORRECTION = 1.2
 _SHARE_FLOOR = 0.25
 
 
@@ -32,6 +31,19 @@
         return self.value * math.exp((self.at_s - now_s) / _OFFERED_SMOOTHING_S)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Wait:
+    """A predicted wait smoothed exponentially over time."""
+
+    value_s: float = 0.0
+    at_s: float = 0.0
+
+    def note(self, wait_s: float, now_s: float) -> None:
+        kept = math.exp((self.at_s - now_s) / _WAIT_SMOOTHING_S)
+        self.value_s = kept * self.value_s + (1.0 - kept) * wait_s
+        self.at_s = now_s
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Offer:
     """A request as admission weighs it.
@@ -68,9 +80,7 @@
     _admitted: dict[str, _Rate] = field(default_factory=dict)
     _weights: dict[str, float] = field(default_factory=dict)
     _credit: dict[int, float] = field(default_factory=dict)
-    _feedback: float = 1.0
-    _wait_s: float = 0.0
-    _updated_s: float = 0.0
+    _waits: dict[int, _Wait] = field(default_factory=dict)
 
     def admit(self, offer: Offer, *, capacity: float, now_s: float) -> bool:
         """Return whether a request is worth the runners' time.
@@ -79,26 +89,22 @@
         :param capacity: runner seconds a second that this entry may use.
         :param now_s: time, in seconds.
         """
-        self._adjust(offer.wait_s, now_s)
         bucket = self._bucket(offer, now_s)
+        wait = self._waits.setdefault(bucket, _Wait())
+        wait.note(offer.wait_s, now_s)
         self._offered.setdefault(bucket, _Rate()).add(offer.work_s, now_s)
-        if self._wait_s > self.target_wait_s / 2:
-            share = self._admitted_share(bucket, capacity * self._feedback, now_s)
+        if wait.value_s > self.target_wait_s / 2:
+            usable = capacity * self._correction(wait.value_s)
+            share = self._admitted_share(bucket, usable, now_s)
             if not self._spend_credit(bucket, share):
                 return False
         self._admitted.setdefault(offer.organisation, _Rate()).add(offer.work_s, now_s)
         return True
 
-    def _adjust(self, wait_s: float, now_s: float) -> None:
-        """Correct the capacity by what the predicted wait says of it."""
-        elapsed_s = now_s - self._updated_s
-        self._updated_s = now_s
-        kept = math.exp(-elapsed_s / _WAIT_SMOOTHING_S)
-        self._wait_s = kept * self._wait_s + (1.0 - kept) * wait_s
-        change = _FEEDBACK_PER_S * elapsed_s * (1.0 - self._wait_s / self.target_wait_s)
-        change = min(_MAX_FEEDBACK_STEP, max(-_MAX_FEEDBACK_STEP, change))
-        feedback = self._feedback * math.exp(change)
-        self._feedback = min(_MAX_FEEDBACK, max(_MIN_FEEDBACK, feedback))
+    def _correction(self, wait_s: float) -> float:
+        """Return the factor on the capacity that brings the wait to its target."""
+        correction = 1.0 + (self.target_wait_s - wait_s) / _DRAIN_S
+        return min(_MAX_CORRECTION, max(_MIN_CORRECTION, correction))
 
     def _bucket(self, offer: Offer, now_s: float) -> int:
         """Return the class of value per second, on a logarithmic scale."""
--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -9,7 +9,7 @@
 
 CONTENTION_WEIGHT = 0.5
 DECODE_WORK_WEIGHT = 0.2
-DECODE_BESIDE_PREFILL_WEIGHT = 2.0
+DECODE_BESIDE_PREFILL_WEIGHT = 20.0
 _BYTES_PER_GB = 1e9
 
 
@@ -109,6 +109,7 @@
     candidates: Sequence[RunnerState],
     *,
     transfer: TransferCost | None = None,
+    ahead_share: float = 1.0,
 ) -> Placement | None:
     """Return the placement of the lowest cost, or None without a candidate.
 
@@ -116,6 +117,7 @@
     :param lane: its lane.
     :param candidates: runners that accept work.
     :param transfer: cost of moving a KV cache, None when it cannot move.
+    :param ahead_share: share of queued prompt tokens that engines run before it.
     """
     open_runners = [
         item
@@ -124,7 +126,7 @@
     ]
     if not open_runners:
         return None
-    prefills = [_predict_prefill(profile, lane, item) for item in open_runners]
+    prefills = [_predict_prefill(profile, item, ahead_share) for item in open_runners]
     decodes = [_predict_decode(profile, item) for item in open_runners]
     best = min(
         range(len(open_runners)),
@@ -152,7 +154,9 @@
     return min(phases, key=lambda phase: phase.cost_s).runner
 
 
-def _predict_prefill(profile: RequestProfile, lane: Lane, state: RunnerState) -> _Phase:
+def _predict_prefill(
+    profile: RequestProfile, state: RunnerState, ahead_share: float
+) -> _Phase:
     """Predict the seconds of computing the prompt."""
     rates = state.rates
     streams = 0.0 if state.does == "prefill" else min(state.in_flight, state.slots)
@@ -162,7 +166,7 @@
     stalled_s = tokens / rates.prefill_tokens_per_s * state.slowness
     return _Phase(
         runner=state,
-        wait_s=state.prefill_tokens / rate,
+        wait_s=state.prefill_tokens * ahead_share / rate,
         own_s=own_s,
         contention_s=CONTENTION_WEIGHT * stalled_s * streams,
     )
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -1,5 +1,6 @@
 """Admission and routing of one entry: typed state in, decision out."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -12,7 +13,7 @@
     choose_decode_runner,
     choose_placement,
 )
-from lacewinglug.routing.lanes import Lane, choose_lane
+from lacewinglug.routing.lanes import Lane, choose_lane, choose_priority
 from lacewinglug.routing.ledger import RunnerLedger
 from lacewinglug.routing.migration import StreamPrognosis, is_worth_moving
 from lacewinglug.routing.prefix import PrefixHints
@@ -29,6 +30,7 @@
 FIRST_TOKEN_SLACK_S = 0.2
 CALL_SLACK_S = 0.05
 _HOLD_SAMPLE_WEIGHT = 0.05
+_RATIO_SAMPLE_WEIGHT = 0.2
 _DEADLINE_MARGIN = 1.0
 
 
@@ -63,6 +65,7 @@
     :param slowness: avoid runners whose own response times are long.
     :param split: compute the prompt and generate the answer on two runners.
     :param fair_shares: weigh organisations at a crest.
+    :param priorities: let engines run work of more value a token first.
     :param migration: move streams off runners that have become slow.
     :param planning: plan the engine roles.
     :param mirror: entries assumed to send as this one does between reports,
@@ -76,6 +79,7 @@
     slowness: bool = True
     split: bool = True
     fair_shares: bool = True
+    priorities: bool = True
     migration: bool = True
     planning: bool = True
     mirror: float = 0.5
@@ -130,6 +134,7 @@
     avoided_until_s: float = float("-inf")
     ordered_role: str = ""
     hold_s: float = 0.5
+    first_token_ratio: float = 1.0
 
     @property
     def role(self) -> str:
@@ -176,6 +181,7 @@
 
     def __post_init__(self) -> None:
         self._records: dict[str, _RunnerRecord] = {}
+        self._queued: Counter[int] = Counter()
         self._candidates = CandidateSet(entry=self.entry)
         fair_shares = self.settings.fair_shares
         self._prefill_admission = AdmissionControl(
@@ -248,7 +254,13 @@
         if not states:
             return Refusal(reason="no runner accepts work")
         transfer = self.transfer if self.settings.split else None
-        placement = choose_placement(profile, lane, states, transfer=transfer)
+        placement = choose_placement(
+            profile,
+            lane,
+            states,
+            transfer=transfer,
+            ahead_share=self._ahead_share(profile, lane),
+        )
         if placement is None:
             return Wait()
         if self.settings.deadlines and self._misses_deadline(profile, placement, now_s):
@@ -266,10 +278,35 @@
         target = choose_decode_runner(profile, states)
         return target.name if target else None
 
+    def _ahead_share(self, profile: RequestProfile, lane: Lane) -> float:
+        """Return the share of queued prompt tokens that run before a request.
+
+        The own tokens stand for those of all entries.
+        """
+        if not self.settings.priorities:
+            return 1.0
+        priority = choose_priority(
+            lane, value=profile.weight, prefill_tokens=profile.prompt_tokens
+        )
+        total = 0
+        ahead = 0
+        for queued_priority, tokens in self._queued.items():
+            total += tokens
+            if queued_priority <= priority:
+                ahead += tokens
+        return ahead / total if total > 0 else 1.0
+
     def note_sent(
-        self, runner: str, *, lane: Lane, prefill_tokens: int, now_s: float
+        self,
+        runner: str,
+        *,
+        lane: Lane,
+        prefill_tokens: int,
+        now_s: float,
+        priority: int = 0,
     ) -> None:
         """Note that a request was sent to a runner."""
+        self._queued[priority] += prefill_tokens
         if runner in self._records:
             self._records[runner].ledger.note(
                 now_s,
@@ -278,8 +315,11 @@
                 prefill_tokens=prefill_tokens,
             )
 
-    def note_computed(self, runner: str, *, prefill_tokens: int, now_s: float) -> None:
+    def note_computed(
+        self, runner: str, *, prefill_tokens: int, now_s: float, priority: int = 0
+    ) -> None:
         """Note that a runner has computed prompt tokens."""
+        self._queued[priority] -= prefill_tokens
         if runner in self._records:
             self._records[runner].ledger.note(now_s, prefill_tokens=-prefill_tokens)
 
@@ -331,14 +371,27 @@
     def note_first_token(
         self, runner: str, *, observed_s: float, expected_s: float, now_s: float
     ) -> None:
-        """Note the time to a first token beside the predicted one."""
+        """Note the time to a first token beside the predicted one.
+
+        Only runners that generate no tokens are judged by it, and beside their
+        peers, since a queue that was predicted too short makes all of them late.
+        """
         record = self._records.get(runner)
-        if record is not None:
-            record.slowness.note(
-                observed_s=observed_s,
-                expected_s=expected_s + FIRST_TOKEN_SLACK_S,
-                now_s=now_s,
-            )
+        if record is None or record.facts.does[record.role] != "prefill":
+            return
+        record.first_token_ratio += _RATIO_SAMPLE_WEIGHT * (
+            observed_s / (expected_s + FIRST_TOKEN_SLACK_S) - record.first_token_ratio
+        )
+        peers = [
+            item.first_token_ratio
+            for item in self._records.values()
+            if item.accepts_work and item.role == record.role
+        ]
+        record.slowness.note(
+            observed_s=record.first_token_ratio,
+            expected_s=max(1.0, min(peers, default=1.0)),
+            now_s=now_s,
+        )
 
     def plan_move(
         self,
