--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.figures import format_figures, write_results
 
-SUITES = ("memory",)
+SUITES = ("memory", "policy")
 
 
 def main(names: list[str]) -> int:
@@ -15,9 +15,11 @@
         print(f"no suite {unknown[0]!r}; use one of {', '.join(SUITES)}")
         return 2
     for name in names or SUITES:
-        figures = importlib.import_module(f"bench.{name}").run()
+        suite = importlib.import_module(f"bench.{name}")
+        figures = suite.run()
         print(f"== {name}")
-        print("\n".join(format_figures(figures)))
+        format_suite = getattr(suite, "format_figures", format_figures)
+        print("\n".join(format_suite(figures)))
         write_results(figures)
     return 0
 
--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -73,7 +73,6 @@
     engine: Engine | None = None
     stage: str = "new"
     missing: int = 0
-    split: bool = False
     generation: int = 0
     first_token_s: float = -1.0
     finish_s: float = -1.0
--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -100,7 +100,6 @@
         engine = self.simulation.by_name[placement.runner.name]
         job.lane = placement.lane
         job.priority = placement.priority if self.settings.priorities else 0
-        job.split = placement.decode_runner is not placement.runner
         job.sent_s = now_s
         job.predicted_first_s = placement.first_token_s
         missing = job.profile.missing_tokens(placement.runner.cached_pieces)
@@ -136,7 +135,7 @@
             expected_s=job.predicted_first_s,
             now_s=now_s,
         )
-        if not job.split:
+        if not self.policy.hands_over(engine.name):
             return
         target = self._target(job, engine)
         if target is not None and target is not engine:
@@ -199,7 +198,6 @@
             if not isinstance(decision, Placement):
                 return None
             target = self.simulation.by_name[decision.runner.name]
-            job.split = decision.decode_runner is not decision.runner
         else:
             found = self._target(job, engine)
             if found is None:
--- a/lacewinglug/routing/admission.py
+++ b/lacewinglug/routing/admission.py
@@ -7,6 +7,8 @@
 _BUCKETS_PER_DOUBLING = 4
 _WAIT_SMOOTHING_S = 0.3
 _DRAIN_S = 2.0
+_MEAN_WORK_WEIGHT = 0.02
+_CREST_RATIO = 1.6
 _MIN_CORRECTION = 0.3
 _MAX_CORRECTION = 1.2
 _SHARE_FLOOR = 0.25
@@ -80,6 +82,8 @@
     _admitted: dict[str, _Rate] = field(default_factory=dict)
     _weights: dict[str, float] = field(default_factory=dict)
     _credit: dict[int, float] = field(default_factory=dict)
+    _arrivals: _Rate = field(default_factory=_Rate)
+    _mean_work_s: float = 0.0
     _waits: dict[int, _Wait] = field(default_factory=dict)
 
     def admit(self, offer: Offer, *, capacity: float, now_s: float) -> bool:
@@ -93,7 +97,8 @@
         wait = self._waits.setdefault(bucket, _Wait())
         wait.note(offer.wait_s, now_s)
         self._offered.setdefault(bucket, _Rate()).add(offer.work_s, now_s)
-        if wait.value_s > self.target_wait_s / 2:
+        is_waiting = wait.value_s > self.target_wait_s / 2
+        if self._is_crest(offer.work_s, capacity, now_s) or is_waiting:
             usable = capacity * self._correction(wait.value_s)
             share = self._admitted_share(bucket, usable, now_s)
             if not self._spend_credit(bucket, share):
@@ -101,6 +106,13 @@
         self._admitted.setdefault(offer.organisation, _Rate()).add(offer.work_s, now_s)
         return True
 
+    def _is_crest(self, work_s: float, capacity: float, now_s: float) -> bool:
+        """Return whether arrivals exceed the capacity beyond their noise."""
+        self._arrivals.add(1.0, now_s)
+        self._mean_work_s += _MEAN_WORK_WEIGHT * (work_s - self._mean_work_s)
+        offered = self._arrivals.value * self._mean_work_s
+        return offered > _CREST_RATIO * capacity
+
     def _correction(self, wait_s: float) -> float:
         """Return the factor on the capacity that brings the wait to its target."""
         correction = 1.0 + (self.target_wait_s - wait_s) / _DRAIN_S
--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -8,6 +8,7 @@
 from lacewinglug.routing.rates import EngineRates
 
 CONTENTION_WEIGHT = 0.5
+LONG_CONTENTION_WEIGHT = 2.0
 DECODE_WORK_WEIGHT = 0.2
 DECODE_BESIDE_PREFILL_WEIGHT = 20.0
 _BYTES_PER_GB = 1e9
@@ -126,7 +127,9 @@
     ]
     if not open_runners:
         return None
-    prefills = [_predict_prefill(profile, item, ahead_share) for item in open_runners]
+    prefills = [
+        _predict_prefill(profile, lane, item, ahead_share) for item in open_runners
+    ]
     decodes = [_predict_decode(profile, item) for item in open_runners]
     best = min(
         range(len(open_runners)),
@@ -155,7 +158,7 @@
 
 
 def _predict_prefill(
-    profile: RequestProfile, state: RunnerState, ahead_share: float
+    profile: RequestProfile, lane: Lane, state: RunnerState, ahead_share: float
 ) -> _Phase:
     """Predict the seconds of computing the prompt."""
     rates = state.rates
@@ -164,11 +167,15 @@
     tokens = profile.missing_tokens(state.cached_pieces)
     own_s = tokens / rate + state.delay_s + state.cost_s
     stalled_s = tokens / rates.prefill_tokens_per_s * state.slowness
+    weight = CONTENTION_WEIGHT
+    if lane is Lane.LONG:
+        streams = max(0.0, streams - state.low_priority)
+        weight = LONG_CONTENTION_WEIGHT
     return _Phase(
         runner=state,
         wait_s=state.prefill_tokens * ahead_share / rate,
         own_s=own_s,
-        contention_s=CONTENTION_WEIGHT * stalled_s * streams,
+        contention_s=weight * stalled_s * streams,
     )
 
 
@@ -179,7 +186,7 @@
     rates = state.rates
     streams = min(state.in_flight, state.slots)
     interval_s = rates.token_interval_s(streams + 1) * state.slowness
-    own_s = profile.output_tokens * interval_s
+    own_s = profile.output_tokens * interval_s + _stalled_s(state)
     work_s = profile.output_tokens / rates.decode_tokens_per_s * state.slowness
     contention_s = DECODE_WORK_WEIGHT * work_s * streams
     if state.does == "prefill":
@@ -192,6 +199,13 @@
     )
 
 
+def _stalled_s(state: RunnerState) -> float:
+    """Return how much queued prompts slow a stream down, in seconds."""
+    if state.does == "prefill" or state.prefill_tokens <= 0:
+        return 0.0
+    return state.prefill_tokens / state.rates.prefill_tokens_per_s * state.slowness
+
+
 def _predict_call(state: RunnerState) -> _Phase:
     """Predict the seconds of a call to a plain service."""
     own_s = state.hold_s * state.slowness
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -160,7 +160,8 @@
         """Return whether reports are recent and no request failed lately."""
         if now_s < self.avoided_until_s:
             return False
-        return now_s - self.ledger.sampled_s < STALE_REPORT_S
+        report_age_s = now_s - self.ledger.sampled_s
+        return self.ledger.report is None or report_age_s < STALE_REPORT_S
 
 
 @dataclass(kw_only=True)
@@ -265,11 +266,18 @@
             return Wait()
         if self.settings.deadlines and self._misses_deadline(profile, placement, now_s):
             return Refusal(reason="the answer would come after the deadline")
-        is_new = self.settings.admission and not admitted
+        is_new = self.settings.admission and not admitted and lane is Lane.SHORT
         if is_new and not self._admit(profile, placement, organisation_weight, now_s):
             return Refusal(reason="the runners are full with work of more value")
         return placement
 
+    def hands_over(self, runner: str) -> bool:
+        """Return whether streams leave a runner after the first token."""
+        record = self._records.get(runner)
+        if record is None or not self.settings.split or self.transfer is None:
+            return False
+        return record.facts.does[record.role] == "prefill"
+
     def choose_target(
         self, profile: RequestProfile, *, now_s: float, excluded: Collection[str]
     ) -> str | None:
