--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -25,6 +25,7 @@
 RETRY_AFTER_S = 2.0
 AVOID_S = 2.0
 STALE_REPORT_S = 3.0
+CAPACITY_REFRESH_S = 0.25
 PREFILL_WAIT_S = 0.25
 SLOT_WAIT_S = 0.5
 FIRST_TOKEN_SLACK_S = 0.2
@@ -183,6 +184,8 @@
     def __post_init__(self) -> None:
         self._records: dict[str, _RunnerRecord] = {}
         self._queued: Counter[int] = Counter()
+        self._known_capacity: _Capacity | None = None
+        self._capacity_at_s = float("-inf")
         self._candidates = CandidateSet(entry=self.entry)
         fair_shares = self.settings.fair_shares
         self._prefill_admission = AdmissionControl(
@@ -206,6 +209,7 @@
 
     def set_unavailable(self, names: Collection[str]) -> None:
         """Take the runners that get no new work."""
+        self._known_capacity = None
         for name, record in self._records.items():
             record.available = name not in names
 
@@ -548,6 +552,14 @@
 
     def _capacity(self, now_s: float) -> _Capacity:
         """Return the runner time for each phase, in seconds a second."""
+        age_s = now_s - self._capacity_at_s
+        if self._known_capacity is None or age_s > CAPACITY_REFRESH_S:
+            self._known_capacity = self._sum_capacity(now_s)
+            self._capacity_at_s = now_s
+        return self._known_capacity
+
+    def _sum_capacity(self, now_s: float) -> _Capacity:
+        """Add up the runners that accept work."""
         records = [item for item in self._records.values() if item.accepts_work]
         roles = [item.facts.rates[item.role] for item in records]
         best_prefill = max(item.prefill_tokens_per_s for item in roles)
