--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -18,7 +18,7 @@
 from lacewinglug.upstream.messages import LoadReport
 
 IDLE_CHUNK_S = 0.05
-STEPS_PER_OBSERVATION = 8
+OBSERVATION_S = 0.15
 CACHED_PIECES = 96
 
 
@@ -304,8 +304,8 @@
             self.output_total += self.streams
             self.observed_s += step_s
             self.observed_steps += 1
-            if self.observed_steps == STEPS_PER_OBSERVATION:
-                self.on_interval(self, self.observed_s / STEPS_PER_OBSERVATION)
+            if self.observed_s >= OBSERVATION_S:
+                self.on_interval(self, self.observed_s / self.observed_steps)
                 self.observed_s = 0.0
                 self.observed_steps = 0
         finishing = self.finishing
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -32,6 +32,7 @@
 CALL_SLACK_S = 0.05
 _HOLD_SAMPLE_WEIGHT = 0.05
 _RATIO_SAMPLE_WEIGHT = 0.2
+_WORK_SAMPLE_WEIGHT = 0.02
 _DEADLINE_MARGIN = 1.0
 
 
@@ -114,7 +115,6 @@
 
 
 _PHASE_SHARES = {
-    "mixed": (0.5, 0.5),
     "prefill": (1.0, 0.0),
     "decode": (0.1, 1.0),
     "plain": (1.0, 1.0),
@@ -186,6 +186,8 @@
         self._queued: Counter[int] = Counter()
         self._known_capacity: _Capacity | None = None
         self._capacity_at_s = float("-inf")
+        self._mean_prefill_s = 0.0
+        self._mean_decode_s = 0.0
         self._candidates = CandidateSet(entry=self.entry)
         fair_shares = self.settings.fair_shares
         self._prefill_admission = AdmissionControl(
@@ -543,6 +545,10 @@
             work_s=profile.output_tokens / capacity.best_decode_tokens_per_s,
             wait_s=placement.slot_wait_s,
         )
+        self._mean_prefill_s += _WORK_SAMPLE_WEIGHT * (
+            prefill.work_s - self._mean_prefill_s
+        )
+        self._mean_decode_s += _WORK_SAMPLE_WEIGHT * (slot.work_s - self._mean_decode_s)
         share = 1.0 / self.entries
         return self._prefill_admission.admit(
             prefill, capacity=capacity.prefill * share, now_s=now_s
@@ -564,12 +570,14 @@
         roles = [item.facts.rates[item.role] for item in records]
         best_prefill = max(item.prefill_tokens_per_s for item in roles)
         best_decode = max(item.decode_tokens_per_s for item in roles)
+        total_s = self._mean_prefill_s + self._mean_decode_s
+        mixed_share = self._mean_prefill_s / total_s if total_s > 0 else 0.5
         prefill = 0.0
         decode = 0.0
         for record, rates in zip(records, roles, strict=True):
             speed = 1.0 / record.slowness.current(now_s)
             does = record.facts.does[record.role]
-            shares = _PHASE_SHARES[does]
+            shares = _PHASE_SHARES.get(does, (mixed_share, 1.0 - mixed_share))
             prefill += speed * shares[0] * rates.prefill_tokens_per_s / best_prefill
             decode += speed * shares[1] * rates.decode_tokens_per_s / best_decode
         return _Capacity(
--- a/lacewinglug/routing/slowness.py
+++ b/lacewinglug/routing/slowness.py
@@ -5,7 +5,7 @@
 
 TOLERATED_RATIO = 1.8
 _SAMPLE_WEIGHT = 0.4
-_FORGET_S = 4.0
+_FORGET_S = 8.0
 _MAX_RATIO = 20.0
 _STALLED_INTERVALS = 8.0
 
