--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -99,8 +99,7 @@
         now_s = self.simulation.loop.now_s
         engine = self.simulation.by_name[placement.runner.name]
         job.lane = placement.lane
-        job.priority = placement.priority
-        job.split = placement.decode_runner is not placement.runner
+        job.priority = placement.priority if self.settings.priorities else 0
         job.sent_s = now_s
         job.predicted_first_s = placement.first_token_s
         missing = job.profile.missing_tokens(placement.runner.cached_pieces)
@@ -117,13 +116,17 @@
             lane=job.lane,
             prefill_tokens=prefill_tokens,
             now_s=self.simulation.loop.now_s,
+            priority=job.priority,
         )
 
     def note_first_token(self, job: Job, engine: Engine) -> None:
         """Note a first token; move the stream on where wanted."""
         now_s = self.simulation.loop.now_s
         self.policy.note_computed(
-            engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+            engine.name,
+            prefill_tokens=job.noted_prefill,
+            now_s=now_s,
+            priority=job.priority,
         )
         job.noted_prefill = 0
         self.policy.note_first_token(
@@ -132,7 +135,7 @@
             expected_s=job.predicted_first_s,
             now_s=now_s,
         )
-        if not job.split:
+        if not self.policy.hands_over(engine.name):
             return
         target = self._target(job, engine)
         if target is not None and target is not engine:
@@ -156,7 +159,10 @@
         now_s = self.simulation.loop.now_s
         if job.noted_prefill:
             self.policy.note_computed(
-                engine.name, prefill_tokens=job.noted_prefill, now_s=now_s
+                engine.name,
+                prefill_tokens=job.noted_prefill,
+                now_s=now_s,
+                priority=job.priority,
             )
             job.noted_prefill = 0
         self.policy.note_closed(
@@ -192,7 +198,6 @@
             if not isinstance(decision, Placement):
                 return None
             target = self.simulation.by_name[decision.runner.name]
-            job.split = decision.decode_runner is not decision.runner
         else:
             found = self._target(job, engine)
             if found is None:
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -1,5 +1,6 @@
 """Admission and routing of one entry: typed state in, decision out."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -12,7 +13,7 @@
     choose_decode_runner,
     choose_placement,
 )
-from lacewinglug.routing.lanes import Lane, choose_lane
+from lacewinglug.routing.lanes import Lane, choose_lane, choose_priority
 from lacewinglug.routing.ledger import RunnerLedger
 from lacewinglug.routing.migration import StreamPrognosis, is_worth_moving
 from lacewinglug.routing.prefix import PrefixHints
@@ -24,11 +25,14 @@
 RETRY_AFTER_S = 2.0
 AVOID_S = 2.0
 STALE_REPORT_S = 3.0
+CAPACITY_REFRESH_S = 0.25
 PREFILL_WAIT_S = 0.25
 SLOT_WAIT_S = 0.5
 FIRST_TOKEN_SLACK_S = 0.2
 CALL_SLACK_S = 0.05
 _HOLD_SAMPLE_WEIGHT = 0.05
+_RATIO_SAMPLE_WEIGHT = 0.2
+_WORK_SAMPLE_WEIGHT = 0.02
 _DEADLINE_MARGIN = 1.0
 
 
@@ -63,6 +67,7 @@
     :param slowness: avoid runners whose own response times are long.
     :param split: compute the prompt and generate the answer on two runners.
     :param fair_shares: weigh organisations at a crest.
+    :param priorities: let engines run work of more value a token first.
     :param migration: move streams off runners that have become slow.
     :param planning: plan the engine roles.
     :param mirror: entries assumed to send as this one does between reports,
@@ -76,6 +81,7 @@
     slowness: bool = True
     split: bool = True
     fair_shares: bool = True
+    priorities: bool = True
     migration: bool = True
     planning: bool = True
     mirror: float = 0.5
@@ -109,7 +115,6 @@
 
 
 _PHASE_SHARES = {
-    "mixed": (0.5, 0.5),
     "prefill": (1.0, 0.0),
     "decode": (0.1, 1.0),
     "plain": (1.0, 1.0),
@@ -130,6 +135,7 @@
     avoided_until_s: float = float("-inf")
     ordered_role: str = ""
     hold_s: float = 0.5
+    first_token_ratio: float = 1.0
 
     @property
     def role(self) -> str:
@@ -155,7 +161,8 @@
         """Return whether reports are recent and no request failed lately."""
         if now_s < self.avoided_until_s:
             return False
-        return now_s - self.ledger.sampled_s < STALE_REPORT_S
+        report_age_s = now_s - self.ledger.sampled_s
+        return self.ledger.report is None or report_age_s < STALE_REPORT_S
 
 
 @dataclass(kw_only=True)
@@ -176,6 +183,11 @@
 
     def __post_init__(self) -> None:
         self._records: dict[str, _RunnerRecord] = {}
+        self._queued: Counter[int] = Counter()
+        self._known_capacity: _Capacity | None = None
+        self._capacity_at_s = float("-inf")
+        self._mean_prefill_s = 0.0
+        self._mean_decode_s = 0.0
         self._candidates = CandidateSet(entry=self.entry)
         fair_shares = self.settings.fair_shares
         self._prefill_admission = AdmissionControl(
@@ -199,6 +211,7 @@
 
     def set_unavailable(self, names: Collection[str]) -> None:
         """Take the runners that get no new work."""
+        self._known_capacity = None
         for name, record in self._records.items():
             record.available = name not in names
 
@@ -248,16 +261,29 @@
         if not states:
             return Refusal(reason="no runner accepts work")
         transfer = self.transfer if self.settings.split else None
-        placement = choose_placement(profile, lane, states, transfer=transfer)
+        placement = choose_placement(
+            profile,
+            lane,
+            states,
+            transfer=transfer,
+            ahead_share=self._ahead_share(profile, lane),
+        )
         if placement is None:
             return Wait()
         if self.settings.deadlines and self._misses_deadline(profile, placement, now_s):
             return Refusal(reason="the answer would come after the deadline")
-        is_new = self.settings.admission and not admitted
+        is_new = self.settings.admission and not admitted and lane is Lane.SHORT
         if is_new and not self._admit(profile, placement, organisation_weight, now_s):
             return Refusal(reason="the runners are full with work of more value")
         return placement
 
+    def hands_over(self, runner: str) -> bool:
+        """Return whether streams leave a runner after the first token."""
+        record = self._records.get(runner)
+        if record is None or not self.settings.split or self.transfer is None:
+            return False
+        return record.facts.does[record.role] == "prefill"
+
     def choose_target(
         self, profile: RequestProfile, *, now_s: float, excluded: Collection[str]
     ) -> str | None:
@@ -266,10 +292,35 @@
         target = choose_decode_runner(profile, states)
         return target.name if target else None
 
+    def _ahead_share(self, profile: RequestProfile, lane: Lane) -> float:
+        """Return the share of queued prompt tokens that run before a request.
+
+        The own tokens stand for those of all entries.
+        """
+        if not self.settings.priorities:
+            return 1.0
+        priority = choose_priority(
+            lane, value=profile.weight, prefill_tokens=profile.prompt_tokens
+        )
+        total = 0
+        ahead = 0
+        for queued_priority, tokens in self._queued.items():
+            total += tokens
+            if queued_priority <= priority:
+                ahead += tokens
+        return ahead / total if total > 0 else 1.0
+
     def note_sent(
-        self, runner: str, *, lane: Lane, prefill_tokens: int, now_s: float
+        self,
+        runner: str,
+        *,
+        lane: Lane,
+        prefill_tokens: int,
+        now_s: float,
+        priority: int = 0,
     ) -> None:
         """Note that a request was sent to a runner."""
+        self._queued[priority] += prefill_tokens
         if runner in self._records:
             self._records[runner].ledger.note(
                 now_s,
@@ -278,8 +329,11 @@
                 prefill_tokens=prefill_tokens,
             )
 
-    def note_computed(self, runner: str, *, prefill_tokens: int, now_s: float) -> None:
+    def note_computed(
+        self, runner: str, *, prefill_tokens: int, now_s: float, priority: int = 0
+    ) -> None:
         """Note that a runner has computed prompt tokens."""
+        self._queued[priority] -= prefill_tokens
         if runner in self._records:
             self._records[runner].ledger.note(now_s, prefill_tokens=-prefill_tokens)
 
@@ -331,14 +385,27 @@
     def note_first_token(
         self, runner: str, *, observed_s: float, expected_s: float, now_s: float
     ) -> None:
-        """Note the time to a first token beside the predicted one."""
+        """Note the time to a first token beside the predicted one.
+
+        Only runners that generate no tokens are judged by it, and beside their
+        peers, since a queue that was predicted too short makes all of them late.
+        """
         record = self._records.get(runner)
-        if record is not None:
-            record.slowness.note(
-                observed_s=observed_s,
-                expected_s=expected_s + FIRST_TOKEN_SLACK_S,
-                now_s=now_s,
-            )
+        if record is None or record.facts.does[record.role] != "prefill":
+            return
+        record.first_token_ratio += _RATIO_SAMPLE_WEIGHT * (
+            observed_s / (expected_s + FIRST_TOKEN_SLACK_S) - record.first_token_ratio
+        )
+        peers = [
+            item.first_token_ratio
+            for item in self._records.values()
+            if item.accepts_work and item.role == record.role
+        ]
+        record.slowness.note(
+            observed_s=record.first_token_ratio,
+            expected_s=max(1.0, min(peers, default=1.0)),
+            now_s=now_s,
+        )
 
     def plan_move(
         self,
@@ -478,6 +545,10 @@
             work_s=profile.output_tokens / capacity.best_decode_tokens_per_s,
             wait_s=placement.slot_wait_s,
         )
+        self._mean_prefill_s += _WORK_SAMPLE_WEIGHT * (
+            prefill.work_s - self._mean_prefill_s
+        )
+        self._mean_decode_s += _WORK_SAMPLE_WEIGHT * (slot.work_s - self._mean_decode_s)
         share = 1.0 / self.entries
         return self._prefill_admission.admit(
             prefill, capacity=capacity.prefill * share, now_s=now_s
@@ -487,16 +558,26 @@
 
     def _capacity(self, now_s: float) -> _Capacity:
         """Return the runner time for each phase, in seconds a second."""
+        age_s = now_s - self._capacity_at_s
+        if self._known_capacity is None or age_s > CAPACITY_REFRESH_S:
+            self._known_capacity = self._sum_capacity(now_s)
+            self._capacity_at_s = now_s
+        return self._known_capacity
+
+    def _sum_capacity(self, now_s: float) -> _Capacity:
+        """Add up the runners that accept work."""
         records = [item for item in self._records.values() if item.accepts_work]
         roles = [item.facts.rates[item.role] for item in records]
         best_prefill = max(item.prefill_tokens_per_s for item in roles)
         best_decode = max(item.decode_tokens_per_s for item in roles)
+        total_s = self._mean_prefill_s + self._mean_decode_s
+        mixed_share = self._mean_prefill_s / total_s if total_s > 0 else 0.5
         prefill = 0.0
         decode = 0.0
         for record, rates in zip(records, roles, strict=True):
             speed = 1.0 / record.slowness.current(now_s)
             does = record.facts.does[record.role]
-            shares = _PHASE_SHARES[does]
+            shares = _PHASE_SHARES.get(does, (mixed_share, 1.0 - mixed_share))
             prefill += speed * shares[0] * rates.prefill_tokens_per_s / best_prefill
             decode += speed * shares[1] * rates.decode_tokens_per_s / best_decode
         return _Capacity(
