Judge a call's deadline by its wait alone

Cause: after two late replies the predicted time of a call passed every deadline, so an entry refused all calls and saw no new evidence until the slowness had faded. Found by test_deadline_ends_a_stream_with_a_typed_line, whose runners have no rates and so count as plain; it passes again, unchanged.

--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -519,8 +519,15 @@
     def _misses_deadline(
         self, profile: RequestProfile, placement: Placement, now_s: float
     ) -> bool:
-        predicted_s = now_s + _DEADLINE_MARGIN * placement.finish_s
-        return predicted_s > profile.deadline_s
+        """Return whether the predicted finish comes too late.
+
+        A call is judged by its wait alone: the time of earlier calls may have
+        passed with their cause, and without new calls nobody would see it.
+        """
+        predicted_s = placement.finish_s
+        if placement.runner.does == "plain":
+            predicted_s = placement.slot_wait_s
+        return now_s + _DEADLINE_MARGIN * predicted_s > profile.deadline_s
 
     def _admit(
         self,
