--- a/lacewinglug/entry/server.py
+++ b/lacewinglug/entry/server.py
@@ -53,10 +53,12 @@
     server = _Server(config)
     serving = asyncio.create_task(server.serve())
     leaving = asyncio.create_task(shutdown.run())
-    await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
-    server.should_exit = True
-    await cancel_tasks([leaving])
-    await serving
+    try:
+        await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
+        server.should_exit = True
+        await serving
+    finally:
+        await cancel_tasks([leaving, serving])
 
 
 async def cancel_tasks(tasks: Collection["asyncio.Task[Any]"]) -> None:
--- a/tests/entry/local.py
+++ b/tests/entry/local.py
@@ -60,8 +60,9 @@
     try:
         yield server.servers[0].sockets[0].getsockname()[1]
     finally:
-        server.should_exit = server.force_exit = True
-        await task
+        for listener in server.servers:
+            listener.close()
+        await cancel_tasks([task])
 
 
 @dataclass
