--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -11,16 +11,17 @@
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from lacewinglug.entry.connection import DISCARD_TIMEOUT_S, MAX_HEADER_BYTES
-from lacewinglug.entry.intake import CALLER_HEADER, Intake
+from lacewinglug.entry.intake import CALLER_HEADER, INCARNATION_HEADER, Intake
 from lacewinglug.entry.responses import ADDRESSES_HEADER, failure_response
-from lacewinglug.ids import MintedId
-from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown
+from lacewinglug.requests.keys import MintedKey
+from lacewinglug.requests.outcomes import NotRun, OutcomeUnknown, open_key
 from lacewinglug.settings import EntrySettings
 from lacewinglug.upstream.client import KEY_HEADER
 
 INTERNAL_PATH = "/internal/"
 _CALLER = CALLER_HEADER.lower().encode()
 _KEY = KEY_HEADER.lower().encode()
+_INCARNATION = INCARNATION_HEADER.lower().encode()
 _LENGTH = b"content-length"
 _CLOSING_STATUSES = (
     HTTPStatus.REQUEST_TIMEOUT,
@@ -130,6 +131,8 @@
         self, refusal: NotRun, scope: Scope, receive: Receive, send: Send
     ) -> None:
         self.intake.metrics.count(f"requests.refused.{int(refusal.status)}")
+        if any(name == _KEY for name, _ in scope["headers"]):
+            refusal = open_key(refusal)
         response = refusal_response(refusal)
         if refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
             response.headers[ADDRESSES_HEADER] = ", ".join(self.addresses)
@@ -147,6 +150,11 @@
                 remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
                 retry_after_s=0.0,
             )
+        if self.intake.view.revision == 0:
+            return NotRun(
+                reason="the entry host has no configuration yet",
+                remedy="send it again after the retry time, or to another entry host",
+            )
         if (
             sum(len(name) + len(value) for name, value in headers.items())
             > MAX_HEADER_BYTES
@@ -188,9 +196,11 @@
 
     def _owns_key(self, headers: dict[bytes, bytes]) -> bool:
         """Return whether only this process can answer a call's key."""
-        minted = MintedId.parse(headers.get(_KEY, b"").decode("latin-1"))
-        ids = self.intake.ids
-        return minted is not None and minted.incarnation == ids.incarnation
+        incarnation = self.intake.ids.incarnation
+        if headers.get(_INCARNATION, b"").decode("latin-1") == incarnation:
+            return True
+        minted = MintedKey.parse(headers.get(_KEY, b"").decode("latin-1"))
+        return minted is not None and minted.owner.incarnation == incarnation
 
 
 @dataclass(kw_only=True)
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -108,7 +108,9 @@
     view = EntryView(availability_zone=settings.host.availability_zone)
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
     client = RunnerClient(session=session, fresh_session=fresh_session)
-    dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
+    dispatcher = Dispatcher(
+        view=view, clock=clock, metrics=metrics, entry=settings.host.name
+    )
     recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
     intake = Intake(
         view=view,
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -164,14 +164,14 @@
             match action:
                 case Renew(host=host):
                     self._sockets.renew(host)
-                case Send(host=host, message=message):
-                    await self._send_peer(host, encode_message(message))
+                case Send(host=host, message=message, is_reply=is_reply):
+                    await self._send_peer(host, encode_message(message), is_reply)
 
-    async def _send_peer(self, host: str, data: bytes) -> None:
-        """Send on the own connection, else on the one that the peer opened."""
+    async def _send_peer(self, host: str, data: bytes, is_reply: bool) -> None:
+        """Send a reply on the peer's connection, and else on the own one if any."""
         identity = self._routes.get(host)
-        is_watched = host in self.exchange.detector.watches
-        if identity is None or is_watched or self._router is None:
+        on_own = host in self.exchange.detector.watches and not is_reply
+        if identity is None or on_own or self._router is None:
             await self._sockets.send(host, data)
             return
         await self._router.send_multipart([identity, data])
@@ -203,8 +203,8 @@
             state="suspect" if silent else "leaving" if hello.leaving else "live",
             leaving_upstreams=self._leaving_upstreams(),
         )
-        if urgent:
-            await self._perform(self.exchange.spread())
+        now_s = self.clock.now_s()
+        await self._perform(self.exchange.spread(now_s=now_s, urgent=urgent))
 
     def _leaving_upstreams(self) -> tuple[str, ...]:
         """Return what the host list and the runners' own reports say is leaving."""
