Bound the wait of a planned move, and an account that grew while no report came

A move waits 0.1 s for room and stays otherwise, since the caller gets nothing while it waits. Python 3.11's wait_for may swallow a cancellation, so an interruption is checked again after a placement.

--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -26,6 +26,7 @@
 
 _ATTEMPTS_WITHOUT_PROGRESS = 4
 _RETRY_DELAY_S = 0.2
+_MOVE_WAIT_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -114,9 +115,22 @@
             dispatch, self.next_dispatch = self.next_dispatch, None
             return Success(dispatch)
         self.stream.advance(WaitsFor.PLACEMENT)
-        return await self.relay.dispatcher.place(
-            self.stream.profile, excluded=self.failed
+        return await self._place_beside(self.failed)
+
+    async def _place_beside(self, excluded: set[str]) -> Result[Dispatch, NotRun]:
+        """Return a runner that is not excluded.
+
+        Waits below may swallow a cancellation that comes as they end, so an
+        interruption of the stream is checked again.
+        """
+        placed = await self.relay.dispatcher.place(
+            self.stream.profile, excluded=excluded
         )
+        if self.stream.interruption is None:
+            return placed
+        if isinstance(placed, Success):
+            placed.unwrap().close(succeeded=True)
+        raise asyncio.CancelledError
 
     async def _wait_before_retry(self) -> None:
         """Wait until a runner may accept the rest; the deadline bounds the waits."""
@@ -192,9 +206,11 @@
         if not is_worth_moving(self.body.max_tokens - self.sequence.next_index):
             return False
         excluded = self.failed | {dispatch.runner}
-        placed = await self.relay.dispatcher.place(
-            self.stream.profile, excluded=excluded
-        )
+        try:
+            async with asyncio.timeout(_MOVE_WAIT_S):
+                placed = await self._place_beside(excluded)
+        except TimeoutError:
+            return False
         if not isinstance(placed, Success):
             return False
         self.next_dispatch = placed.unwrap()
--- a/lacewinglug/routing/ledger.py
+++ b/lacewinglug/routing/ledger.py
@@ -5,6 +5,8 @@
 
 from lacewinglug.upstream.messages import LoadReport
 
+_MAX_CHANGES = 128
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadEstimate:
@@ -72,6 +74,20 @@
                 prefill_tokens=prefill_tokens,
             )
         )
+        if len(self._changes) > _MAX_CHANGES:
+            self._merge_oldest()
+
+    def _merge_oldest(self) -> None:
+        """Merge the two oldest changes, so that a missing report costs no memory."""
+        first = self._changes.popleft()
+        second = self._changes.popleft()
+        merged = _Change(
+            at_s=second.at_s,
+            in_flight=first.in_flight + second.in_flight,
+            low_priority=first.low_priority + second.low_priority,
+            prefill_tokens=first.prefill_tokens + second.prefill_tokens,
+        )
+        self._changes.appendleft(merged)
 
     def note_report(self, report: LoadReport, sampled_s: float) -> None:
         """Take a report unless a newer one is known."""
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of the bounds on open streams."""
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass, field
 
@@ -191,6 +192,24 @@
     assert "deadline" in session.stream.failure().reason
 
 
+async def test_interruption_survives_a_wait_that_swallows_the_cancellation():
+    session = Session(PausingEngines(pause_at=0))
+    place = session.dispatcher.place
+
+    async def swallow(profile, *, excluded=()):
+        placed = await place(profile, excluded=excluded)
+        session.stream.interrupt(Interruption.DEADLINE)
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(0)
+        return placed
+
+    session.dispatcher.place = swallow
+    with pytest.raises(asyncio.CancelledError):
+        await session.run(until_paused=lambda: None)
+    assert not session.dispatcher.open_dispatches
+    assert session.engines.requests == []
+
+
 @pytest.mark.parametrize(
     ("waits_for", "lines", "prompt_tokens", "bound_s", "interruption"),
     [
