--- /dev/null
+++ b/tests/requests/test_calls.py
@@ -0,0 +1,102 @@
+"""Tests of idempotent calls and of the budget of their retries."""
+
+import pytest
+from returns.result import Failure, Success
+
+from harness.call_fleet import FakeDispatch
+from harness.virtual_time import VirtualClock, run_virtual
+from lacewinglug.metrics import Metrics
+from lacewinglug.requests.calls import Call, CallRunner
+from lacewinglug.requests.outcomes import FailedWhileRunning, NotRun
+from lacewinglug.requests.retries import RetryBudget
+from lacewinglug.routing.profile import RequestProfile
+from lacewinglug.upstream.client import RunnerError
+from lacewinglug.upstream.messages import CallReply
+
+
+class Dispatcher:
+    """Places calls on the first runner that is not excluded."""
+
+    async def place(self, profile, *, excluded=()):
+        names = [name for name in ("a", "b", "c", "d") if name not in excluded]
+        return Success(FakeDispatch(runner=names[0], url=names[0]))
+
+
+class Transport:
+    """Fails at the given runners and counts what it sent."""
+
+    def __init__(self, failing, sent):
+        self.failing = failing
+        self.sent = sent
+        self.urls = []
+
+    async def call(self, url, path, *, key, **_):
+        self.urls.append(url)
+        if url in self.failing:
+            raise RunnerError("broken", sent=self.sent)
+        return CallReply(key=key, result="done")
+
+
+def run_call(transport, *, budget=None, idempotent=True, timeout_s=5.0, count=1):
+    async def run():
+        clock = VirtualClock()
+        runner = CallRunner(
+            dispatcher=Dispatcher(),
+            client=transport,
+            clock=clock,
+            metrics=Metrics(),
+            budget=budget or RetryBudget(),
+        )
+        profile = RequestProfile(
+            request_id="r",
+            service="booking",
+            kind="seats",
+            organisation="north",
+            weight=1.0,
+            deadline_s=clock.now_s() + timeout_s,
+            idempotent=idempotent,
+        )
+        call = Call(profile=profile, path="/", body=b"", key="", timeout_s=timeout_s)
+        send = runner.run_idempotent if idempotent else runner.run_once
+        return [await send(call) for _ in range(count)][-1]
+
+    return run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("failing", "sent", "urls", "expected"),
+    [
+        ("", True, "a", CallReply),
+        ("a", True, "ab", CallReply),
+        ("ab", False, "abc", CallReply),
+        ("abc", False, "abc", NotRun),
+        ("abc", True, "abc", FailedWhileRunning),
+    ],
+)
+def test_idempotent_call_moves_to_another_runner(failing, sent, urls, expected):
+    transport = Transport(failing, sent)
+    match run_call(transport):
+        case Success(result) | Failure(result):
+            assert isinstance(result, expected)
+    assert "".join(transport.urls) == urls
+
+
+def test_retries_stay_within_their_budget():
+    transport = Transport("abcd", True)
+    run_call(transport, count=1000)
+    assert len(transport.urls) <= 1000 + 10 + 1000 * 0.1
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_call_past_its_deadline_is_not_sent(idempotent):
+    transport = Transport("", True)
+    result = run_call(transport, idempotent=idempotent, timeout_s=0.0)
+    assert isinstance(result.failure(), NotRun)
+    assert transport.urls == []
+
+
+def test_call_that_may_not_be_repeated_is_sent_to_one_runner():
+    transport = Transport("a", False)
+    result = run_call(transport, idempotent=False)
+    assert result.failure().repeat_with == "new_key"
+    assert transport.urls == ["a"]
