--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,11 @@
 
 from bench.figures import format_figures, write_results
 
+<<<<<<< HEAD
 SUITES = ("memory", "calls")
+=======
+SUITES = ("memory", "control", "orders")
+>>>>>>> main
 
 
 def main(names: list[str]) -> int:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -39,6 +39,8 @@
 class FakeDispatch:
     """One placement; counts how often it is closed."""
 
+    priority = 0
+
     runner: str
     profile: RequestProfile
     open_dispatches: set
