--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,11 +5,7 @@
 
 from bench.figures import format_figures, write_results
 
-<<<<<<< HEAD
-SUITES = ("memory", "calls")
-=======
-SUITES = ("memory", "control", "orders")
->>>>>>> main
+SUITES = ("memory", "control", "orders", "calls")
 
 
 def main(names: list[str]) -> int:
