--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -29,6 +29,8 @@
 _SHORT_TIMEOUT = aiohttp.ClientTimeout(total=5.0, connect=2.0)
 _STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=7.0)
 
+_MAX_SENDS = 5
+_REPEAT_DELAY_S = 1.0
 _part_decoder = msgspec.json.Decoder(AnswerToken | AnswerHeartbeat | AnswerEnd)
 
 
@@ -207,23 +209,94 @@
 
         :raises AnswerFailedError: the entry mints no key.
         """
-        url = f"{self._entry}/v1/keys"
-        async with self.session.post(url, headers=self._headers()) as response:
+        return await self._mint_at(self._entry)
+
+    async def _mint_first(self, entries: list[str]) -> str:
+        """Return a key of the first entry host that answers."""
+        error: Exception = aiohttp.ClientError("no entry host is in service; try later")
+        for entry in entries:
+            try:
+                return await self._mint_at(entry)
+            except (AnswerFailedError, aiohttp.ClientError) as caught:
+                error = caught
+            except TimeoutError:
+                error = aiohttp.ServerTimeoutError(f"{entry} does not answer")
+        raise error
+
+    async def _mint_at(self, entry: str) -> str:
+        """Return a key of one entry host."""
+        url = f"{entry}/v1/keys"
+        async with self.session.post(
+            url, headers=self._headers(), timeout=_SHORT_TIMEOUT
+        ) as response:
             content = await response.read()
         if response.status != 201:
             raise AnswerFailedError(msgspec.json.decode(content, type=FailureBody))
         return msgspec.json.decode(content, type=KeyReply).key
 
+    async def run_call(
+        self, service: str, kind: str, body: str, *, timeout_s: float = 30.0
+    ) -> Result[CallReply, FailureBody]:
+        """Run a call at most once, repeating it until its outcome is settled.
+
+        Every repeat carries the same minted key, so none runs the call again.
+
+        :param service: name of the service.
+        :param kind: name of the kind of request.
+        :param body: body of the call.
+        :param timeout_s: longest wait for one copy's answer, in seconds.
+        :raises AnswerFailedError: the entry mints no key.
+        :raises aiohttp.ClientError: no entry host answers.
+        """
+        entries = await self._find_entries()
+        key = await self._mint_first(entries)
+        result: Result[CallReply, FailureBody] = Failure(_connection_lost())
+        for attempt in range(_MAX_SENDS):
+            if attempt > 0:
+                await self.clock.sleep(_REPEAT_DELAY_S)
+            entry = entries[attempt % len(entries)]
+            try:
+                async with asyncio.timeout(timeout_s):
+                    result = await self._post_call(entry, service, kind, body, key)
+            except (aiohttp.ClientError, TimeoutError):
+                result = Failure(_connection_lost())
+            match result:
+                case Failure(FailureBody(repeat_with="same_key")):
+                    continue
+                case _:
+                    return result
+        return result
+
     async def send_call(
         self, service: str, kind: str, body: str, *, key: str = ""
     ) -> Result[CallReply, FailureBody]:
-        """Run a call at a plain service."""
+        """Send one copy of a call to a plain service.
+
+        :param key: key of the call, empty to let the entry mint one.
+        """
+        return await self._post_call(self._entry, service, kind, body, key)
+
+    async def _post_call(
+        self, entry: str, service: str, kind: str, body: str, key: str
+    ) -> Result[CallReply, FailureBody]:
+        """Send one copy of a call to one entry."""
         headers = self._headers()
         if key:
             headers[KEY_HEADER] = key
-        url = f"{self._entry}/v1/services/{service}/calls/{kind}"
+        url = f"{entry}/v1/services/{service}/calls/{kind}"
         async with self.session.post(url, data=body, headers=headers) as response:
             content = await response.read()
         if response.status == 200:
             return Success(msgspec.json.decode(content, type=CallReply))
         return Failure(msgspec.json.decode(content, type=FailureBody))
+
+
+def _connection_lost() -> FailureBody:
+    """Return the outcome of a call whose answer did not arrive."""
+    return FailureBody(
+        outcome="outcome_unknown",
+        reason="the connection to the entry was lost before its answer",
+        remedy="repeat with the same key, at another entry host",
+        retry_after_s=_REPEAT_DELAY_S,
+        repeat_with="same_key",
+    )
--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -142,6 +142,23 @@
     assert (await stage.runs())["order-late"] == 0
 
 
+async def test_caller_library_repeats_at_another_entry(stage):
+    client = stage.caller("entry-1")
+    await client.fetch_addresses()
+    await stage.set_faults(late_replies=1, late_s=1.0)
+    first = asyncio.create_task(
+        client.run_call(SERVICE, "unlock", "bay of the library")
+    )
+    await asyncio.sleep(0.5)
+    owner = client.addresses[0]
+    [host] = [name for name in HOSTS if stage.deployment.entry_url(name) == owner]
+    await kill_and_restart(stage, host)
+    failure = (await first).failure()
+    assert (failure.outcome, failure.repeat_with) == ("outcome_unknown", "")
+    reply = await client.run_call(SERVICE, "unlock", "bay of the library")
+    assert reply.unwrap().result == "done /unlock bay of the library"
+
+
 async def test_idempotent_call_needs_no_key(stage):
     client = stage.caller("entry-1")
     reply = (await client.send_call(SERVICE, "bays", "")).unwrap()
