--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections import Counter
 
 import aiohttp
 import pytest
@@ -194,3 +195,25 @@
             await asyncio.sleep(0.01)
     answered = [key for key, told in stage.told.items() if "answered" in told]
     assert len(answered) > 100
+
+
+@pytest.mark.parametrize(
+    ("told", "runs"),
+    [
+        (["answered"], 0),
+        (["answered"], 2),
+        (["outcome_unknown"], 2),
+        (["not_run"], 1),
+        (["outcome_unknown", "not_run"], 1),
+    ],
+)
+async def test_judge_of_the_journal_finds_a_broken_promise(monkeypatch, told, runs):
+    async def fake_runs(_):
+        return Counter({"key": runs})
+
+    monkeypatch.setattr(CallStage, "runs", fake_runs)
+    stage = CallStage(
+        deployment=None, session=None, relay=None, service_port=0, told={"key": told}
+    )
+    with pytest.raises(AssertionError):
+        await stage.judge()
