--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass, field
 
 from bench.policy.engine import Engine, Job
-from bench.policy.simulation import KV_BYTES_PER_S, KV_BYTES_PER_TOKEN, Simulation
+from bench.policy.simulation import (
+    KV_BYTES_PER_S,
+    KV_BYTES_PER_TOKEN,
+    REMOTE_KV_BYTES_PER_S,
+    Simulation,
+)
 from lacewinglug.routing.choice import Placement, TransferCost
 from lacewinglug.routing.migration import (
     MIN_SLOWNESS,
@@ -45,7 +50,9 @@
             settings=self.settings,
             entries=len(site.entries),
             transfer=TransferCost(
-                kv_bytes_per_token=KV_BYTES_PER_TOKEN, bytes_per_s=KV_BYTES_PER_S
+                kv_bytes_per_token=KV_BYTES_PER_TOKEN,
+                bytes_per_s=KV_BYTES_PER_S,
+                remote_bytes_per_s=REMOTE_KV_BYTES_PER_S,
             ),
         )
         self.policy.update_runners(
@@ -55,6 +62,7 @@
                     rates=site.roles,
                     does={role: role for role in site.roles},
                     default_role=engine.role,
+                    region=str(engine.region),
                     delay_s=simulation.delay_s(self.index, engine),
                 )
                 for engine in simulation.engines
@@ -143,7 +151,9 @@
 
     def _target(self, job: Job, engine: Engine) -> Engine | None:
         now_s = self.simulation.loop.now_s
-        name = self.policy.choose_target(job.profile, now_s=now_s, excluded=())
+        name = self.policy.choose_target(
+            job.profile, source=engine.name, now_s=now_s, excluded=()
+        )
         return self.simulation.by_name[name] if name else None
 
     def _move(self, job: Job, source: Engine, target: Engine) -> None:
--- a/lacewinglug/entry/dispatch.py
+++ b/lacewinglug/entry/dispatch.py
@@ -248,6 +248,7 @@
                 rates=rates,
                 does=does,
                 default_role=fleet.runners[name].initial_role or next(iter(rates)),
+                region=fleet.region_of(fleet.runners[name].availability_zone),
                 delay_s=self.view.delay_s(name),
                 cost_s=self._region_cost_s(name),
             )
--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -9,6 +9,8 @@
 
 CONTENTION_WEIGHT = 0.5
 LONG_CONTENTION_WEIGHT = 2.0
+LONG_RANK_S = 30.0
+BESIDE_LONG_WEIGHT = 8.0
 DECODE_WORK_WEIGHT = 0.2
 DECODE_BESIDE_PREFILL_WEIGHT = 20.0
 _BYTES_PER_GB = 1e9
@@ -27,7 +29,10 @@
     :param prefill_tokens: prompt tokens still to compute.
     :param cached_pieces: leading pieces of the prompt that it probably caches.
     :param slowness: how many times slower than its rates it is.
+    :param long_rank: place in the order in which all entries fill runners with
+        long work.
     :param hold_s: mean time that a request holds a slot, in seconds.
+    :param region: region that it stands in.
     :param delay_s: one-way network delay, in seconds.
     :param cost_s: cost of its region by volume, expressed in seconds.
     """
@@ -41,7 +46,9 @@
     prefill_tokens: float = 0.0
     cached_pieces: int = 0
     slowness: float = 1.0
+    long_rank: int = 0
     hold_s: float = 2.0
+    region: str = ""
     delay_s: float = 0.0
     cost_s: float = 0.0
 
@@ -51,15 +58,18 @@
     """How long the KV cache of a prompt takes from one runner to another.
 
     :param kv_bytes_per_token: size of the KV cache of a token, in bytes.
-    :param bytes_per_s: rate between runners, in bytes a second.
+    :param bytes_per_s: rate within a region, in bytes a second.
+    :param remote_bytes_per_s: rate between regions, in bytes a second.
     """
 
     kv_bytes_per_token: int
     bytes_per_s: float
+    remote_bytes_per_s: float
 
-    def transfer_s(self, tokens: int) -> float:
+    def transfer_s(self, tokens: int, *, is_remote: bool) -> float:
         """Return the time that the KV cache of tokens takes, in seconds."""
-        return tokens * self.kv_bytes_per_token / self.bytes_per_s
+        rate = self.remote_bytes_per_s if is_remote else self.bytes_per_s
+        return tokens * self.kv_bytes_per_token / rate
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,7 +140,7 @@
     prefills = [
         _predict_prefill(profile, lane, item, ahead_share) for item in open_runners
     ]
-    decodes = [_predict_decode(profile, item) for item in open_runners]
+    decodes = [_predict_decode(profile, item, lane) for item in open_runners]
     best = min(
         range(len(open_runners)),
         key=lambda index: prefills[index].cost_s + decodes[index].cost_s,
@@ -142,19 +152,43 @@
     second = min(decodes, key=lambda phase: phase.cost_s)
     if first.runner is second.runner:
         return placement
-    moved_s = transfer.transfer_s(profile.prompt_tokens) + second.runner.delay_s
+    is_remote = first.runner.region != second.runner.region
+    moved_s = second.runner.delay_s
+    moved_s += transfer.transfer_s(profile.prompt_tokens, is_remote=is_remote)
     split = _join(profile, lane, first, second, moved_s)
     return split if split.cost_s < placement.cost_s else placement
 
 
 def choose_decode_runner(
-    profile: RequestProfile, candidates: Sequence[RunnerState]
+    profile: RequestProfile,
+    lane: Lane,
+    candidates: Sequence[RunnerState],
+    *,
+    region: str = "",
+    transfer: TransferCost | None = None,
 ) -> RunnerState | None:
-    """Return the runner on which a moved stream goes on best."""
+    """Return the runner on which a moved stream goes on best.
+
+    :param region: region that it leaves.
+    :param transfer: cost of moving its KV cache, None when it is computed again.
+    """
     if not candidates:
         return None
-    phases = [_predict_decode(profile, item) for item in candidates]
-    return min(phases, key=lambda phase: phase.cost_s).runner
+    roomy = [
+        item
+        for item in candidates
+        if has_room(lane, low_priority=item.low_priority, slots=item.slots)
+    ]
+    phases = [_predict_decode(profile, item, lane) for item in roomy or candidates]
+
+    def cost_s(phase: _Phase) -> float:
+        if transfer is None:
+            return phase.cost_s
+        is_remote = phase.runner.region != region
+        tokens = profile.prompt_tokens
+        return phase.cost_s + transfer.transfer_s(tokens, is_remote=is_remote)
+
+    return min(phases, key=cost_s).runner
 
 
 def _predict_prefill(
@@ -179,7 +213,7 @@
     )
 
 
-def _predict_decode(profile: RequestProfile, state: RunnerState) -> _Phase:
+def _predict_decode(profile: RequestProfile, state: RunnerState, lane: Lane) -> _Phase:
     """Predict the seconds of generating the answer."""
     if state.does == "plain":
         return _predict_call(state)
@@ -191,6 +225,10 @@
     contention_s = DECODE_WORK_WEIGHT * work_s * streams
     if state.does == "prefill":
         contention_s += DECODE_BESIDE_PREFILL_WEIGHT * own_s
+    if lane is Lane.LONG:
+        contention_s += LONG_RANK_S * state.long_rank
+    else:
+        contention_s += BESIDE_LONG_WEIGHT * own_s * state.low_priority / state.slots
     return _Phase(
         runner=state,
         wait_s=_slot_wait_s(state),
--- a/lacewinglug/routing/migration.py
+++ b/lacewinglug/routing/migration.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-MIN_SLOWNESS = 2.0
+MIN_SLOWNESS = 2.4
 MIN_GAIN_S = 0.3
 
 
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from lacewinglug.routing.admission import AdmissionControl, Offer
-from lacewinglug.routing.candidates import CandidateSet
+from lacewinglug.routing.candidates import CandidateSet, rank_runners
 from lacewinglug.routing.choice import (
     Placement,
     RunnerState,
@@ -26,10 +26,11 @@
 AVOID_S = 2.0
 STALE_REPORT_S = 3.0
 CAPACITY_REFRESH_S = 0.25
-PREFILL_WAIT_S = 0.25
+PREFILL_WAIT_S = 0.12
 SLOT_WAIT_S = 0.5
 FIRST_TOKEN_SLACK_S = 0.2
 CALL_SLACK_S = 0.05
+_LONG_KEY = "long"
 _HOLD_SAMPLE_WEIGHT = 0.05
 _RATIO_SAMPLE_WEIGHT = 0.2
 _WORK_SAMPLE_WEIGHT = 0.02
@@ -44,6 +45,7 @@
     :param rates: rates by name of the engine role.
     :param does: phases by name of the engine role.
     :param default_role: role assumed while none is reported.
+    :param region: region that it stands in.
     :param delay_s: one-way delay from this entry, in seconds.
     :param cost_s: cost of its region by volume, expressed in seconds.
     """
@@ -52,6 +54,7 @@
     rates: Mapping[str, EngineRates]
     does: Mapping[str, str]
     default_role: str = ""
+    region: str = ""
     delay_s: float = 0.0
     cost_s: float = 0.0
 
@@ -134,6 +137,7 @@
     available: bool = True
     avoided_until_s: float = float("-inf")
     ordered_role: str = ""
+    long_rank: int = 0
     hold_s: float = 0.5
     first_token_ratio: float = 1.0
 
@@ -208,6 +212,8 @@
             record.facts = item
             self._records[item.name] = record
         self._candidates.update(tuple(self._records))
+        for rank, name in enumerate(rank_runners(_LONG_KEY, tuple(self._records))):
+            self._records[name].long_rank = rank
 
     def set_unavailable(self, names: Collection[str]) -> None:
         """Take the runners that get no new work."""
@@ -285,11 +291,25 @@
         return record.facts.does[record.role] == "prefill"
 
     def choose_target(
-        self, profile: RequestProfile, *, now_s: float, excluded: Collection[str]
+        self,
+        profile: RequestProfile,
+        *,
+        source: str,
+        now_s: float,
+        excluded: Collection[str],
     ) -> str | None:
-        """Return the runner on which a moved stream goes on, None for none."""
+        """Return the runner on which a moved stream goes on, None for none.
+
+        :param source: runner that it leaves.
+        """
         states = self._states(profile, now_s, excluded)
-        target = choose_decode_runner(profile, states)
+        target = choose_decode_runner(
+            profile,
+            self._lane(profile),
+            states,
+            region=self._records[source].facts.region,
+            transfer=self.transfer,
+        )
         return target.name if target else None
 
     def _ahead_share(self, profile: RequestProfile, lane: Lane) -> float:
@@ -428,7 +448,13 @@
         if here is None or not others:
             return None
         if computed:
-            there = choose_decode_runner(profile, others)
+            there = choose_decode_runner(
+                profile,
+                self._lane(profile),
+                others,
+                region=here.region,
+                transfer=self.transfer,
+            )
         else:
             placement = choose_placement(profile, self._lane(profile), others)
             there = placement.runner if placement else None
@@ -437,14 +463,17 @@
         prognosis = StreamPrognosis(
             here_s=_remaining_s(profile, here, computed, remaining_tokens),
             there_s=_remaining_s(profile, there, computed, remaining_tokens),
-            move_s=self._move_s(profile, computed),
+            move_s=self._move_s(profile, computed, here.region != there.region),
         )
         return there.name if is_worth_moving(prognosis) else None
 
-    def _move_s(self, profile: RequestProfile, computed: bool) -> float:
+    def _move_s(
+        self, profile: RequestProfile, computed: bool, is_remote: bool
+    ) -> float:
+        """Return the time without tokens during a move, in seconds."""
         if not computed or self.transfer is None:
             return 0.0
-        return self.transfer.transfer_s(profile.prompt_tokens)
+        return self.transfer.transfer_s(profile.prompt_tokens, is_remote=is_remote)
 
     def note_interval(self, runner: str, *, interval_s: float, now_s: float) -> None:
         """Note the time between two tokens of a stream."""
@@ -511,7 +540,9 @@
                 record.hints.matched(profile.prefix_hashes) if settings.prefixes else 0
             ),
             slowness=record.slowness.current(now_s) if settings.slowness else 1.0,
+            long_rank=record.long_rank,
             hold_s=record.hold_s,
+            region=facts.region,
             delay_s=facts.delay_s,
             cost_s=facts.cost_s,
         )
--- a/lacewinglug/routing/slowness.py
+++ b/lacewinglug/routing/slowness.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-TOLERATED_RATIO = 1.8
-_SAMPLE_WEIGHT = 0.4
+TOLERATED_RATIO = 2.4
+_SAMPLE_WEIGHT = 0.6
 _FORGET_S = 8.0
 _MAX_RATIO = 20.0
 _STALLED_INTERVALS = 8.0
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -89,7 +89,9 @@
         make_state("d", does="decode"),
         make_state("p", does="prefill"),
     ]
-    transfer = TransferCost(kv_bytes_per_token=131072, bytes_per_s=1.25e9)
+    transfer = TransferCost(
+        kv_bytes_per_token=131072, bytes_per_s=1.25e9, remote_bytes_per_s=6e8
+    )
     profile = make_profile(prompt_tokens=3000, output_tokens=200)
     placement = choose_placement(profile, Lane.SHORT, runners, transfer=transfer)
     assert (placement.runner.name, placement.decode_runner.name) == ("p", "d")
