--- a/lacewinglug/routing/admission.py
+++ b/lacewinglug/routing/admission.py
@@ -6,7 +6,7 @@
 _OFFERED_SMOOTHING_S = 1.0
 _BUCKETS_PER_DOUBLING = 4
 _WAIT_SMOOTHING_S = 0.3
-_DRAIN_S = 2.0
+_DRAIN_S = 1.0
 _MEAN_WORK_WEIGHT = 0.02
 _CREST_RATIO = 1.6
 _MIN_CORRECTION = 0.3
