--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -16,7 +16,7 @@
 _BYTES_PER_GB = 1e9
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True, eq=False)
 class RunnerState:
     """What is known of a runner when a request is routed.
 
@@ -72,7 +72,7 @@
         return tokens * self.kv_bytes_per_token / rate
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True, eq=False)
 class Placement:
     """Where a request runs.
 
@@ -100,7 +100,7 @@
     priority: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True, eq=False)
 class _Phase:
     """Predicted seconds of one phase on one runner."""
 
--- a/lacewinglug/routing/ledger.py
+++ b/lacewinglug/routing/ledger.py
@@ -6,7 +6,7 @@
 from lacewinglug.upstream.messages import LoadReport
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class LoadEstimate:
     """Load of a runner as predicted for now.
 
@@ -20,7 +20,7 @@
     prefill_tokens: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class _Change:
     at_s: float
     in_flight: int
