Tell an operator of a taken control port, and ignore what a gone host listed

A second steward on one host ended with a traceback of the socket library; it ends with status 2 and the remedy now. A host that shut down stays known as leaving, and what it had seen leaving kept runners out of service for good; only live hosts count now. Both have a test.

--- a/lacewinglug/membership/table.py
+++ b/lacewinglug/membership/table.py
@@ -126,7 +126,7 @@
         return {
             name
             for host, status in self.statuses.items()
-            if status.state != "suspect" or host == self.host
+            if status.state == "live" or host == self.host
             for name in status.leaving_upstreams
         }
 
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -73,6 +73,7 @@
             clock=clock,
             metrics=metrics,
         )
+        server.bind()
         replica.listeners.append(server.notify_config)
         tail = LogTail(
             log=log,
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -25,6 +25,7 @@
     decode_message,
     encode_message,
 )
+from lacewinglug.errors import UserError
 from lacewinglug.membership.lives import HostLives
 from lacewinglug.metrics import Metrics
 from lacewinglug.platform.log import StoredRecord
@@ -103,13 +104,30 @@
             if life.chart_state == "live"
         }
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
+    def bind(self) -> None:
+        """Take the control port.
+
+        :raises UserError: another process holds it.
+        """
         router = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
         router.linger = 0
-        router.bind(self.endpoint)
-        self.bound.set()
+        try:
+            router.bind(self.endpoint)
+        except zmq.ZMQError as error:
+            router.close()
+            raise UserError(
+                f"cannot listen on {self.endpoint}: {error}; stop the steward that "
+                "runs on this host, or correct host.address and steward.control_port"
+            ) from None
         self._router = router
+        self.bound.set()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        if self._router is None:
+            self.bind()
+        router = self._router
+        assert router is not None
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._receive(router))
--- a/lacewinglug/ui/programs.py
+++ b/lacewinglug/ui/programs.py
@@ -68,7 +68,11 @@
         statsd_port=settings.metrics.statsd_port,
         program=program,
     )
-    asyncio.run(run(settings, incarnation, metrics))
+    try:
+        asyncio.run(run(settings, incarnation, metrics))
+    except UserError as error:
+        click.echo(f"lacewinglug-{program}: {error}", err=True)
+        sys.exit(error.exit_code)
 
 
 async def run_until_signal(coroutine: Coroutine[Any, Any, None]) -> None:
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -49,11 +49,13 @@
     assert (own.version, own.state, own.incarnation) == (10, "live", "2")
 
 
-def test_upstreams_named_by_a_suspect_host_do_not_count():
+@pytest.mark.parametrize("state", ["suspect", "leaving"])
+def test_upstreams_named_by_a_host_that_is_gone_do_not_count(state):
     table = HostTable(host="a")
-    table.merge(status(1, leaving_upstreams=("assistant-1",)), source="b")
+    named = {"leaving_upstreams": ("assistant-1",)}
+    table.merge(status(1, **named), source="b")
     assert table.leaving_upstreams() == {"assistant-1"}
-    table.suspect("b")
+    table.merge(status(2, state, **named), source="b")
     assert table.leaving_upstreams() == set()
 
 
--- a/tests/steward/test_control_processes.py
+++ b/tests/steward/test_control_processes.py
@@ -169,6 +169,17 @@
     wait_for(lambda: in_force(serving, "entry-2", 1), "no revision from peers")
 
 
+def test_second_steward_of_a_host_ends_with_the_remedy(platform):
+    for name in ("first", "second"):
+        platform.start_steward("entry-1")
+        platform.processes[name] = platform.processes.pop("entry-1.steward")
+        wait_for(lambda: platform.read_log("entry-1.steward"), "nothing logged")
+    assert platform.processes["second"].wait(timeout=30) == 2
+    log = platform.read_log("entry-1.steward")
+    assert "stop the steward that runs on this host" in log
+    assert "Traceback" not in log
+
+
 def test_host_without_log_and_peers_refuses_as_not_run(platform):
     kill(platform, "platform")
     platform.start_hosts(["entry-1"])
