--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -52,7 +52,7 @@
         aiohttp.ClientSession(connector=make_connector()) as session,
         aiohttp.ClientSession(connector=make_connector(reuse=False)) as fresh_session,
     ):
-        app, calls = _build_app(
+        app, calls = build_entry(
             settings=settings,
             incarnation=incarnation,
             clock=clock,
@@ -95,7 +95,7 @@
     logger.info("entry stopped")
 
 
-def _build_app(
+def build_entry(
     *,
     settings: Settings,
     incarnation: str,
@@ -108,7 +108,9 @@
     view = EntryView(availability_zone=settings.host.availability_zone)
     ids = IdFactory(host=settings.host.name, incarnation=incarnation)
     client = RunnerClient(session=session, fresh_session=fresh_session)
-    dispatcher = Dispatcher(view=view, clock=clock, metrics=metrics)
+    dispatcher = Dispatcher(
+        view=view, clock=clock, metrics=metrics, entry=settings.host.name
+    )
     recorder = OutcomeRecorder(host=settings.host.name, get_fleet=lambda: view.fleet)
     intake = Intake(
         view=view,
--- a/lacewinglug/entry/view.py
+++ b/lacewinglug/entry/view.py
@@ -11,6 +11,7 @@
     """The last state that the steward sent; kept while the steward is away.
 
     :param availability_zone: availability zone of this entry.
+    :param status_updates: status messages taken so far.
     """
 
     availability_zone: str
@@ -18,6 +19,7 @@
     runners: dict[str, RunnerStatus] = field(default_factory=dict)
     hosts: dict[str, HostStatus] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
+    status_updates: int = 0
 
     @property
     def revision(self) -> int:
@@ -42,6 +44,7 @@
         if view.hosts is not None:
             self.hosts = {status.host: status for status in view.hosts}
         self.leaving = frozenset(view.leaving)
+        self.status_updates += 1
 
     def unavailable(self) -> set[str]:
         """Return hosts and runners that get no new work."""
