Decide on tenures without a task for each domain

Cause: a task for each due domain and sets built for each decision. Releases at shutdown run together and are bounded in time.

--- a/lacewinglug/authority/tenures.py
+++ b/lacewinglug/authority/tenures.py
@@ -113,18 +113,17 @@
     :param ranked: hosts that may hold the domain, first one first.
     :param known: what the process knows of the hosts.
     """
-    if claimant.host in state.withdrawn:
-        return LeaveTenure()
     current = state.tenures.get(domain.name)
-    is_first = claimant.host == _first_live(ranked, state, known)
-    if current is None:
-        return ClaimTenure(supersedes=NO_TENURE) if is_first else LeaveTenure()
-    if claimant.holds(current):
+    if claimant.holds(current) or claimant.host in state.withdrawn:
         return LeaveTenure()
-    if claimant.succeeds(current):
+    if current is not None and claimant.succeeds(current):
         return ClaimTenure(supersedes=current.offset)
-    if current.host in known.live or not is_first:
+    if current is not None and current.host in known.live:
+        return LeaveTenure()
+    if claimant.host != _first_live(ranked, state, known):
         return LeaveTenure()
+    if current is None:
+        return ClaimTenure(supersedes=NO_TENURE)
     if not current.exclusive:
         return ClaimTenure(supersedes=current.offset)
     if _left_list(current.host, claimant.host, known):
@@ -136,10 +135,11 @@
     ranked: Collection[str], state: ControlState, known: HostKnowledge
 ) -> str | None:
     """Return the first host that is live and in service."""
-    excluded = state.withdrawn | state.draining
-    return next(
-        (name for name in ranked if name in known.live and name not in excluded), None
-    )
+    for name in ranked:
+        in_service = name not in state.withdrawn and name not in state.draining
+        if name in known.live and in_service:
+            return name
+    return None
 
 
 def _left_list(host: str, own_host: str, known: HostKnowledge) -> bool:
--- a/lacewinglug/steward/orders.py
+++ b/lacewinglug/steward/orders.py
@@ -1,6 +1,7 @@
 """Gives orders to the engines of the order domains that this steward holds."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -205,8 +206,9 @@
             await asyncio.wait(
                 list(self._steps.values()), timeout=self.timings.shutdown_s
             )
-        for domain in self._releasable():
-            await self.keeper.release(domain)
+        releases = [self.keeper.release(domain) for domain in self._releasable()]
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.gather(*releases), self.timings.shutdown_s)
 
 
 def _is_due(
--- a/lacewinglug/steward/tenures.py
+++ b/lacewinglug/steward/tenures.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from lacewinglug.authority.domains import OrderDomain, list_domains
 from lacewinglug.authority.records import (
@@ -19,6 +20,7 @@
     Claimant,
     ClaimTenure,
     HostKnowledge,
+    LeaveTenure,
     WithdrawHolder,
     decide_tenure,
     rank_hosts,
@@ -103,8 +105,13 @@
         if self.state.halted or now_s < self.claim_after_s:
             return
         known = self.known_hosts()
-        due = [item for item in self.domains.values() if now_s >= item.retry_at_s]
-        await asyncio.gather(*(self._append_due(item, known) for item in due))
+        appends = [
+            append
+            for item in self.domains.values()
+            if now_s >= item.retry_at_s
+            and (append := self._find_due(item, known)) is not None
+        ]
+        await asyncio.gather(*appends)
 
     def held(self) -> dict[str, int]:
         """Return the offset of each tenure under which orders may be given."""
@@ -224,11 +231,12 @@
         self.metrics.count("tenures.released" if was_released else "tenures.lost")
         logger.info("tenure ended", extra={"domain": item.domain.name})
 
-    async def _append_due(self, item: DomainTenure, known: HostKnowledge) -> None:
-        """Append a claim or a withdrawal, or repeat one whose reply was lost."""
+    def _find_due(
+        self, item: DomainTenure, known: HostKnowledge
+    ) -> Coroutine[Any, Any, None] | None:
+        """Return the append that is due about a domain, None for none."""
         if item.claim is not None:
-            await self._append(item, item.claim)
-            return
+            return self._append(item, item.claim)
         decision = decide_tenure(
             self.state,
             item.domain,
@@ -238,7 +246,7 @@
         )
         match decision:
             case ClaimTenure(supersedes=supersedes):
-                await self._claim(item, supersedes)
+                return self._claim(item, supersedes)
             case WithdrawHolder(host=host):
                 record = HostWithdrawn(
                     record_id=self.ids.make(),
@@ -246,7 +254,9 @@
                     target=host,
                     operator=HOST_LIST_OPERATOR,
                 )
-                await self._append(item, record)
+                return self._append(item, record)
+            case LeaveTenure():
+                return None
 
     async def _claim(self, item: DomainTenure, supersedes: int) -> None:
         """Append a claim; the replay settles it, whatever the reply."""
--- a/tests/steward/test_orders.py
+++ b/tests/steward/test_orders.py
@@ -136,6 +136,19 @@
     assert not holder.manager.changes
 
 
+@pytest.mark.parametrize("outstanding", [False, True])
+async def test_shutdown_releases_what_has_no_outstanding_order(outstanding):
+    scene, holder = await settled_scene(unfenced=1)
+    holder.manager.changes["e0"].has_outstanding_order = outstanding
+    task = asyncio.create_task(holder.manager.run())
+    await scene.clock.advance(0.1)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    holder.paused = True
+    released = any(b"tenure_released" in data for data in scene.log.records)
+    assert released is not outstanding
+
+
 @pytest.mark.parametrize("loss", ["lose_replies", "lose_appends"])
 async def test_lost_claim_is_settled_by_the_replay(loss):
     scene = OrderScene(fleet=make_fleet())
