Pass over a runner that no byte of a call reached

Cause: a call that may not be repeated was refused as not run when its first runner refused the connection, though another runner accepted work; with two of three runners down most calls failed. A refused connection proves that the call was not sent, so another runner may be tried; one that may have got a byte still ends the attempts.

--- a/lacewinglug/requests/calls.py
+++ b/lacewinglug/requests/calls.py
@@ -75,16 +75,27 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
 
     async def run_once(self, call: Call) -> CallResult:
-        """Send a call that may not be repeated to one runner, once."""
-        match await self.dispatcher.place(call.profile):
-            case Success(dispatch):
-                pass
-            case Failure(refusal):
-                return Failure(_close_key(refusal))
-        try:
-            return Success(await self._send(call, dispatch))
-        except RunnerError as error:
-            failure = _describe_once(error)
+        """Send a call that may not be repeated to one runner, once.
+
+        A runner that no byte reached is passed over for another one.
+        """
+        failed: set[str] = set()
+        failure: RequestFailure | None = None
+        for _ in range(_MAX_ATTEMPTS):
+            match await self.dispatcher.place(call.profile, excluded=failed):
+                case Success(dispatch):
+                    pass
+                case Failure(refusal):
+                    failure = failure or _close_key(refusal)
+                    break
+            try:
+                return Success(await self._send(call, dispatch))
+            except RunnerError as error:
+                failure = _describe_once(error)
+                if error.sent:
+                    break
+                failed.add(dispatch.runner)
+        assert failure is not None
         if isinstance(failure, OutcomeUnknown):
             self.metrics.count("calls.outcome_unknown")
         return Failure(failure)
