Fold the burn stream at the upkeep holder, and document every counter

Folds stand in a stream of their own, so that a report reads all folds but only the newest windows, and a folder keeps three hours in memory however long the stream is.

--- a/lacewinglug/report/ledger.py
+++ b/lacewinglug/report/ledger.py
@@ -119,6 +119,8 @@
 
     def forget_before(self, hour: int) -> None:
         """Drop the windows and folds of earlier hours."""
+        if hour <= 0:
+            return
         first = hour * _MINUTES_PER_HOUR
         self._windows = {
             key: window for key, window in self._windows.items() if key.index >= first
--- a/lacewinglug/report/windows.py
+++ b/lacewinglug/report/windows.py
@@ -3,6 +3,7 @@
 import msgspec
 
 BURN_STREAM = "burn"
+FOLD_STREAM = "burn-folds"
 WINDOW_S = 60
 WINDOWS_PER_FOLD = 60
 FOLD_S = WINDOW_S * WINDOWS_PER_FOLD
--- a/lacewinglug/steward/burn_fold.py
+++ b/lacewinglug/steward/burn_fold.py
@@ -10,7 +10,7 @@
 from lacewinglug.platform.log import LogClient
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.reading import BurnReader
-from lacewinglug.report.windows import BURN_STREAM, FOLD_S, encode_burn_record
+from lacewinglug.report.windows import FOLD_S, FOLD_STREAM, encode_burn_record
 
 FOLD_INTERVAL_S = 600.0
 KEPT_HOURS = 2
@@ -49,14 +49,14 @@
                 self.metrics.count("burn.fold_failures")
 
     async def fold_once(self, reader: BurnReader) -> None:
-        """Append a fold of each hour that is over and not folded whole."""
-        await reader.catch_up()
+        """Append a fold of each late hour that is over and not folded whole."""
         hour_now = int(self.clock.wall_s()) // FOLD_S
+        reader.kept_from_hour = hour_now - KEPT_HOURS
+        await reader.catch_up()
         for hour in self._ledger.hours_to_fold(before_hour=hour_now):
-            fold = self._ledger.make_fold(hour, through_offset=reader.next_offset)
+            fold = self._ledger.make_fold(hour, through_offset=reader.next_window)
             if fold is None:
                 continue
-            await self.log.append(BURN_STREAM, encode_burn_record(fold))
+            await self.log.append(FOLD_STREAM, encode_burn_record(fold))
             self._ledger.apply(fold)
             self.metrics.count("burn.folds")
-        self._ledger.forget_before(hour_now - KEPT_HOURS)
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -14,6 +14,7 @@
 from lacewinglug.platform.hosts import HttpHostListClient
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
+from lacewinglug.steward.burn_fold import BurnFolder
 from lacewinglug.steward.hosts import HostListWatcher
 from lacewinglug.steward.known_hosts import KnownHosts
 from lacewinglug.steward.order_setup import make_order_manager
@@ -96,6 +97,9 @@
             metrics=metrics,
             ids=IdFactory(host=f"{host}-upkeep", incarnation=incarnation),
         )
+        folder = BurnFolder(
+            log=log, is_holder=keeper.holds_tenure, clock=clock, metrics=metrics
+        )
         known_hosts = KnownHosts(
             host=host,
             state=state,
@@ -125,4 +129,5 @@
             group.create_task(known_hosts.run())
             await server.bound.wait()
             group.create_task(keeper.run())
+            group.create_task(folder.run())
             group.create_task(manager.run())
--- a/lacewinglug/steward/tenures.py
+++ b/lacewinglug/steward/tenures.py
@@ -230,7 +230,10 @@
         is_short = now_s - item.held_since_s < SHORT_TENURE_S
         item.losses = item.losses + 1 if is_short and not was_released else 1
         item.retry_at_s = now_s + self.backoff.delay_s(item.losses)
-        self.metrics.count("tenures.released" if was_released else "tenures.lost")
+        if was_released:
+            self.metrics.count("tenures.released")
+        else:
+            self.metrics.count("tenures.lost")
         logger.info("tenure ended", extra={"domain": item.domain.name})
 
     def _find_due(
--- a/lacewinglug/steward/upkeep.py
+++ b/lacewinglug/steward/upkeep.py
@@ -67,7 +67,7 @@
         if self.clock.now_s() < self._append_after_s:
             return
         tenure = self.state.tenures.get(UPKEEP_DOMAIN)
-        if tenure is not None and self._holds_tenure():
+        if self.holds_tenure():
             if self._is_due():
                 await self._append_snapshot()
         elif self._may_claim():
@@ -83,8 +83,11 @@
                 )
             )
 
-    def _holds_tenure(self) -> bool:
-        tenure = self.state.tenures[UPKEEP_DOMAIN]
+    def holds_tenure(self) -> bool:
+        """Return whether this process holds the upkeep tenure."""
+        tenure = self.state.tenures.get(UPKEEP_DOMAIN)
+        if tenure is None:
+            return False
         return (tenure.host, tenure.incarnation) == (self.host, self.incarnation)
 
     def _may_claim(self) -> bool:
--- /dev/null
+++ b/tests/steward/test_burn_fold.py
@@ -0,0 +1,81 @@
+"""Tests of folding the burn stream."""
+
+import pytest
+
+from lacewinglug.metrics import Metrics
+from lacewinglug.report.ledger import BurnLedger
+from lacewinglug.report.reading import BurnReader
+from lacewinglug.report.windows import (
+    BURN_STREAM,
+    FOLD_S,
+    FOLD_STREAM,
+    WINDOW_S,
+    BurnWindow,
+    ObjectiveTally,
+    WindowKey,
+    encode_burn_record,
+)
+from lacewinglug.steward.burn_fold import KEPT_HOURS, BurnFolder
+from tests.report.fakes import MemoryLog, WallClock
+
+HOUR = 500_000
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+def append_minutes(log, hour, *, host="entry-1", count=60):
+    for minute in range(count):
+        key = WindowKey(host=host, incarnation="a", index=hour * 60 + minute)
+        tally = ObjectiveTally(objective="unlock", total=10, good=9)
+        window = BurnWindow(key=key, tallies=(tally,))
+        log.streams.setdefault(BURN_STREAM, []).append(encode_burn_record(window))
+
+
+def make_folder(log, clock):
+    return BurnFolder(log=log, is_holder=lambda: True, clock=clock, metrics=Metrics())
+
+
+async def read_totals(log):
+    reader = BurnReader(log=log, ledger=BurnLedger())
+    await reader.catch_up()
+    minutes = reader.ledger.minutes().get("unlock", {})
+    return sum(count.total for count in minutes.values()), reader
+
+
+async def test_fold_replaces_windows_that_expire(log):
+    append_minutes(log, HOUR)
+    append_minutes(log, HOUR, host="entry-2")
+    clock = WallClock(wall_time_s=(HOUR + 1) * FOLD_S + WINDOW_S)
+    reader = BurnReader(log=log, ledger=BurnLedger())
+    folder = make_folder(log, clock)
+    reader.ledger = folder._ledger
+    await folder.fold_once(reader)
+    await folder.fold_once(reader)
+    assert len(log.streams[FOLD_STREAM]) == 1
+    assert (await read_totals(log))[0] == 1200
+    log.expire(BURN_STREAM, 120)
+    total, reader = await read_totals(log)
+    assert total == 1200
+    assert reader.expired
+
+
+async def test_two_folders_count_nothing_twice(log):
+    append_minutes(log, HOUR)
+    clock = WallClock(wall_time_s=(HOUR + 1) * FOLD_S)
+    for _ in range(2):
+        folder = make_folder(log, clock)
+        await folder.fold_once(BurnReader(log=log, ledger=folder._ledger))
+    assert (await read_totals(log))[0] == 600
+
+
+async def test_folder_keeps_late_hours_only(log):
+    for hour in range(HOUR, HOUR + 6):
+        append_minutes(log, hour, count=2)
+    clock = WallClock(wall_time_s=(HOUR + 6) * FOLD_S)
+    folder = make_folder(log, clock)
+    await folder.fold_once(BurnReader(log=log, ledger=folder._ledger))
+    assert len(log.streams[FOLD_STREAM]) == KEPT_HOURS
+    assert (await read_totals(log))[0] == 120
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,9 +1,15 @@
 """Tests of counters."""
 
+import ast
+import re
 import socket
+from pathlib import Path
 
 from lacewinglug.metrics import Metrics, make_metrics
 
+ROOT = Path(__file__).parent.parent
+METRIC_METHODS = ("count", "gauge", "timing")
+
 
 def test_counts_reach_the_statsd_daemon():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as daemon:
@@ -22,3 +28,31 @@
     metrics.count("calls.repeats")
     metrics.timing("requests.latency", 0.1)
     assert metrics.counts["calls.repeats"] == 1
+
+
+def iter_metric_names():
+    """Yield the names of all metrics in the code, placeholders as ``*``."""
+    for path in (ROOT / "lacewinglug").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            if getattr(node.func, "attr", "") not in METRIC_METHODS:
+                continue
+            if "metrics" not in ast.unparse(node.func):
+                continue
+            match node.args[0]:
+                case ast.Constant(value=str(name)):
+                    yield name
+                case ast.JoinedStr(values=values):
+                    yield "".join(
+                        getattr(v, "value", "*") if isinstance(v, ast.Constant) else "*"
+                        for v in values
+                    )
+
+
+def test_every_metric_is_documented():
+    page = (ROOT / "docs" / "METRICS.md").read_text()
+    documented = set(re.findall(r"^\| `([^`]+)`", page, flags=re.MULTILINE))
+    used = set(iter_metric_names())
+    assert used - documented == set(), "add them to docs/METRICS.md"
+    assert documented - used == set(), "remove them from docs/METRICS.md"
