Try another runner while no byte of a call was sent

With the routing policy merged, a call could be placed on a runner that does not listen, and was refused as not run though another runner was there: three tests of replies that never come failed with 'not_run'. Trying the next runner is safe while nothing was written.

--- a/lacewinglug/requests/calls.py
+++ b/lacewinglug/requests/calls.py
@@ -75,19 +75,29 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
 
     async def run_once(self, call: Call) -> CallResult:
-        """Send a call that may not be repeated to one runner, once."""
-        match await self.dispatcher.place(call.profile):
-            case Success(dispatch):
-                pass
-            case Failure(refusal):
-                return Failure(_close_key(refusal))
-        try:
-            return Success(await self._send(call, dispatch))
-        except RunnerError as error:
-            failure = _describe_once(error)
-        if isinstance(failure, OutcomeUnknown):
+        """Send a call that may not be repeated, to one runner, once.
+
+        Another runner is tried only while no byte of the call was sent.
+        """
+        failed: set[str] = set()
+        last: RequestFailure | None = None
+        for _ in range(_MAX_ATTEMPTS):
+            match await self.dispatcher.place(call.profile, excluded=failed):
+                case Success(dispatch):
+                    pass
+                case Failure(refusal):
+                    return Failure(last or _close_key(refusal))
+            try:
+                return Success(await self._send(call, dispatch))
+            except RunnerError as error:
+                last = _describe_once(error)
+                if error.sent:
+                    break
+                failed.add(dispatch.runner)
+        assert last is not None
+        if isinstance(last, OutcomeUnknown):
             self.metrics.count("calls.outcome_unknown")
-        return Failure(failure)
+        return Failure(last)
 
     async def run_idempotent(self, call: Call) -> CallResult:
         """Send a call that may be repeated, to another runner when one fails."""
