--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -10,7 +10,8 @@
 CONTENTION_WEIGHT = 0.5
 LONG_CONTENTION_WEIGHT = 2.0
 LONG_RANK_S = 30.0
-BESIDE_LONG_WEIGHT = 8.0
+BESIDE_LONG_WEIGHT = 0.25
+BESIDE_LONG_STREAMS = 2.0
 DECODE_WORK_WEIGHT = 0.2
 DECODE_BESIDE_PREFILL_WEIGHT = 20.0
 _BYTES_PER_GB = 1e9
@@ -146,9 +147,10 @@
         key=lambda index: prefills[index].cost_s + decodes[index].cost_s,
     )
     placement = _join(profile, lane, prefills[best], decodes[best], 0.0)
-    if transfer is None or len(open_runners) == 1:
+    handing_over = [phase for phase in prefills if phase.runner.does == "prefill"]
+    if transfer is None or not handing_over:
         return placement
-    first = min(prefills, key=lambda phase: phase.cost_s)
+    first = min(handing_over, key=lambda phase: phase.cost_s)
     second = min(decodes, key=lambda phase: phase.cost_s)
     if first.runner is second.runner:
         return placement
@@ -228,7 +230,8 @@
     if lane is Lane.LONG:
         contention_s += LONG_RANK_S * state.long_rank
     else:
-        contention_s += BESIDE_LONG_WEIGHT * own_s * state.low_priority / state.slots
+        beside_long = min(1.0, state.low_priority / BESIDE_LONG_STREAMS)
+        contention_s += BESIDE_LONG_WEIGHT * own_s * beside_long
     return _Phase(
         runner=state,
         wait_s=_slot_wait_s(state),
