--- a/bench/policy/engine.py
+++ b/bench/policy/engine.py
@@ -82,6 +82,7 @@
     sent_s: float = 0.0
     held_from_s: float = 0.0
     lane: Lane = Lane.SHORT
+    split: bool = False
 
 
 @dataclass(eq=False)
--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -107,6 +107,7 @@
         now_s = self.simulation.loop.now_s
         engine = self.simulation.by_name[placement.runner.name]
         job.lane = placement.lane
+        job.split = placement.decode_runner is not placement.runner
         job.priority = placement.priority if self.settings.priorities else 0
         job.sent_s = now_s
         job.predicted_first_s = placement.first_token_s
@@ -143,8 +144,9 @@
             expected_s=job.predicted_first_s,
             now_s=now_s,
         )
-        if not self.policy.hands_over(engine.name):
+        if not (job.split or self.policy.hands_over(engine.name)):
             return
+        job.split = False
         target = self._target(job, engine)
         if target is not None and target is not engine:
             self._move(job, engine, target)
--- a/lacewinglug/routing/choice.py
+++ b/lacewinglug/routing/choice.py
@@ -147,10 +147,9 @@
         key=lambda index: prefills[index].cost_s + decodes[index].cost_s,
     )
     placement = _join(profile, lane, prefills[best], decodes[best], 0.0)
-    handing_over = [phase for phase in prefills if phase.runner.does == "prefill"]
-    if transfer is None or not handing_over:
+    if transfer is None or len(open_runners) == 1:
         return placement
-    first = min(handing_over, key=lambda phase: phase.cost_s)
+    first = min(prefills, key=lambda phase: phase.cost_s)
     second = min(decodes, key=lambda phase: phase.cost_s)
     if first.runner is second.runner:
         return placement
