Plan engine roles in the steward from load reports

Each holder of a small service plans for the whole service and acts on its own engines; a larger one is planned by order domain. A new holder starts from the roles that engines report, since it would otherwise order every planned role back (shown by test_new_holder_keeps_the_roles_that_engines_report). Reports older than 5 s hold the position. 64 tests of roles, planning and authority pass.

--- a/lacewinglug/roles/source.py
+++ b/lacewinglug/roles/source.py
@@ -45,22 +45,25 @@
         reports: Mapping[str, LoadReport],
         runners: Sequence[str],
         *,
+        peers: Sequence[str] = (),
         now_s: float,
     ) -> dict[str, str]:
         """Return the wanted role by runner, at most one of a service changed.
 
+        A runner that has not reported yet is left out.
+
         :param fleet: the configuration in force.
         :param reports: last load report of each runner that reports in time.
         :param runners: runners whose roles are wanted.
+        :param peers: other runners of the same services, under other holders.
         :param now_s: monotonic time, in seconds.
         """
-        services: dict[str, list[str]] = {}
-        for name in runners:
-            services.setdefault(fleet.runners[name].service, []).append(name)
-        wanted = {}
-        for service, names in services.items():
-            if fleet.services[service].roles:
-                wanted.update(self._plan(fleet, service, reports, names, now_s))
+        wanted: dict[str, str] = {}
+        for service, names in _by_service(fleet, runners).items():
+            if not fleet.services[service].roles:
+                continue
+            others = _by_service(fleet, peers).get(service, [])
+            wanted.update(self._plan(fleet, service, reports, names, others, now_s))
         return wanted
 
     def _plan(
@@ -69,6 +72,7 @@
         service: str,
         reports: Mapping[str, LoadReport],
         names: Sequence[str],
+        peers: Sequence[str],
         now_s: float,
     ) -> dict[str, str]:
         plan = self._plans.setdefault(service, _ServicePlan())
@@ -78,19 +82,37 @@
             if (role := fleet.engine_roles[name])
         }
         for name in names:
-            plan.wanted.setdefault(name, fleet.runners[name].initial_role)
-            if plan.wanted[name] not in roles:
-                plan.wanted[name] = next(iter(roles))
-        if any(name not in reports for name in names):
-            return {name: plan.wanted[name] for name in names}
-        demand = _track(plan.tracker, reports, names, now_s)
-        settled = _track(plan.settled, reports, names, now_s)
-        if demand is not None:
-            planned = [_planned(name, plan.wanted[name], reports) for name in names]
-            match plan_change(planned, roles, demand, settled):
-                case RoleChange(runner=runner, role=new_role):
-                    plan.wanted[runner] = new_role
-        return {name: plan.wanted[name] for name in names}
+            if name in reports or name in plan.wanted:
+                known = plan.wanted.get(name) or reports[name].role
+                plan.wanted[name] = _valid_role(known, fleet, name)
+        everyone = [*names, *peers]
+        if all(name in reports for name in everyone):
+            demand = _track(plan.tracker, reports, everyone, now_s)
+            settled = _track(plan.settled, reports, everyone, now_s)
+            if demand is not None:
+                planned = [_planned(name, plan.wanted[name], reports) for name in names]
+                planned += [_planned_peer(name, reports) for name in peers]
+                match plan_change(planned, roles, demand, settled):
+                    case RoleChange(runner=runner, role=new_role) if runner in names:
+                        plan.wanted[runner] = new_role
+        return {name: plan.wanted[name] for name in names if name in plan.wanted}
+
+
+def _by_service(fleet: Fleet, runners: Sequence[str]) -> dict[str, list[str]]:
+    """Return runners by the name of their service."""
+    services: dict[str, list[str]] = {}
+    for name in runners:
+        services.setdefault(fleet.runners[name].service, []).append(name)
+    return services
+
+
+def _valid_role(role: str, fleet: Fleet, runner: str) -> str:
+    """Return a role that the runner's service allows, the given one if it does."""
+    item = fleet.runners[runner]
+    allowed = fleet.services[item.service].roles
+    if role in allowed:
+        return role
+    return item.initial_role if item.initial_role in allowed else allowed[0]
 
 
 def _planned(
@@ -106,6 +128,11 @@
     )
 
 
+def _planned_peer(name: str, reports: Mapping[str, LoadReport]) -> PlannedRunner:
+    """Return an engine under another holder, in the role that it reports."""
+    return _planned(name, reports[name].role, reports)
+
+
 def _track(
     tracker: DemandTracker,
     reports: Mapping[str, LoadReport],
--- a/lacewinglug/standin/engine.py
+++ b/lacewinglug/standin/engine.py
@@ -62,6 +62,8 @@
     running: int = 0
     queued: int = 0
     queued_prefill_tokens: int = 0
+    prefill_tokens_total: int = 0
+    output_tokens_total: int = 0
     prompts: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     imported: list[str] = field(default_factory=list)
@@ -89,6 +91,8 @@
             slots=self.slots,
             fencing_number=self.control.fencing_number,
             version=self.control.target.version,
+            prefill_tokens_total=self.prefill_tokens_total,
+            output_tokens_total=self.output_tokens_total,
         )
 
     async def handle_load(self, request: Request) -> Response:
@@ -124,11 +128,13 @@
                 started = True
                 await asyncio.sleep(prompt_tokens / self.prefill_tokens_per_s)
                 self.queued_prefill_tokens -= prompt_tokens
+                self.prefill_tokens_total += prompt_tokens
                 prompt_tokens = 0
                 for index in range(message.resume_from, message.max_tokens):
                     await asyncio.sleep(self.token_interval_s)
                     self._note_kv(message.request_id, context_tokens + 1)
                     context_tokens += 1
+                    self.output_tokens_total += 1
                     yield _encode_line(
                         TokenLine(
                             request_id=message.request_id,
--- a/lacewinglug/steward/poller.py
+++ b/lacewinglug/steward/poller.py
@@ -13,6 +13,8 @@
 from lacewinglug.upstream.client import RunnerClient, RunnerError
 from lacewinglug.upstream.messages import LoadReport
 
+FRESH_S = 5.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -71,6 +73,15 @@
         """Return the last report of each runner."""
         return {name: item.report for name, item in self.reports.items()}
 
+    def fresh(self) -> dict[str, LoadReport]:
+        """Return the last report of each runner that still reports."""
+        horizon_s = self.clock.now_s() - FRESH_S
+        return {
+            name: item.report
+            for name, item in self.reports.items()
+            if item.received_at_s >= horizon_s
+        }
+
     def statuses(self) -> list[RunnerStatus]:
         """Return the last reports with their ages."""
         now_s = self.clock.now_s()
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -19,6 +19,7 @@
 from lacewinglug.steward.known_hosts import KnownHosts
 from lacewinglug.steward.order_setup import make_order_manager
 from lacewinglug.steward.peers import PeerExchange
+from lacewinglug.steward.planned_roles import PlannedRoleSource
 from lacewinglug.steward.poller import RunnerPoller
 from lacewinglug.steward.replica import Replica
 from lacewinglug.steward.server import ControlServer
@@ -119,6 +120,7 @@
             metrics=metrics,
             order_session=order_session,
             rng=random.Random(incarnation),
+            roles=PlannedRoleSource(state=state, fresh_reports=poller.fresh),
         )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
