--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -50,6 +50,7 @@
 def _publication(base: Fleet, wanted: Fleet, *, revision: int) -> StoredRecord:
     record = ConfigPublished(
         record_id=f"operator.{revision}",
+        as_of=revision,
         publisher="operator",
         base_revision=revision,
         change=diff_fleets(base, wanted),
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -28,6 +28,12 @@
         return figures + _measure(deployment, "loaded")
 
 
+def measure_idle_steward_mb() -> float:
+    """Return the resident memory of a steward without a fleet, in megabytes."""
+    idle = next(figure for figure in run() if figure.subject == "steward_idle")
+    return idle.value
+
+
 def _measure(deployment: Deployment, state: str) -> list[Figure]:
     return [
         Figure(
