--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -26,7 +26,7 @@
 POLLED_SIZES = (20, 60, 120)
 _PROMPTS = 150
 _AT_ONCE = 10
-_STREAM_TOKENS = 100_000
+_STREAM_TOKENS = 1600
 _SETTLE_S = 2.0
 _POLL_PERIOD_S = 8.0
 _STREAM_SLOTS = 250
@@ -109,7 +109,9 @@
         caller = _caller(deployment, session)
 
         async def hold(number: int) -> None:
-            body = PromptBody(prompt=f"prompt {number}", max_tokens=_STREAM_TOKENS)
+            body = PromptBody(
+                prompt=f"prompt {number}", max_tokens=_STREAM_TOKENS, kind="note"
+            )
             async for _ in caller.send_prompt("assistant", body):
                 pass
 
