--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -89,7 +89,9 @@
         make_state("d", does="decode"),
         make_state("p", does="prefill"),
     ]
-    transfer = TransferCost(kv_bytes_per_token=131072, bytes_per_s=1.25e9)
+    transfer = TransferCost(
+        kv_bytes_per_token=131072, bytes_per_s=1.25e9, remote_bytes_per_s=6e8
+    )
     profile = make_profile(prompt_tokens=3000, output_tokens=200)
     placement = choose_placement(profile, Lane.SHORT, runners, transfer=transfer)
     assert (placement.runner.name, placement.decode_runner.name) == ("p", "d")
@@ -138,7 +140,7 @@
     offers = [offer(1.0, organisation="greedy", work_s=0.1)] * 9
     offers.append(offer(1.0, organisation="modest", work_s=0.1))
     admitted = count_admitted(offers, capacity=2.0)
-    assert admitted[9] > 100
+    assert admitted[9] > 0.4 * sum(admitted.values())
 
 
 def test_candidates_are_few_stable_and_share_an_affinity():
