--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -24,8 +24,9 @@
 from lacewinglug.upstream.client import RunnerClient, RunnerError
 from lacewinglug.upstream.messages import GenerateRequest, KvImport
 
-_ATTEMPTS_WITHOUT_PROGRESS = 4
-_RETRY_DELAY_S = 0.2
+_ATTEMPTS_WITHOUT_PROGRESS = 6
+_RETRY_DELAY_S = 0.1
+_MAX_DOUBLINGS = 3
 _MOVE_WAIT_S = 0.1
 
 
@@ -90,6 +91,10 @@
     async def _run_attempts(self) -> AsyncGenerator[AnswerBatch, None]:
         while self.attempts < _ATTEMPTS_WITHOUT_PROGRESS:
             match await self._place():
+                case Success(dispatch) if dispatch.runner in self.failed:
+                    dispatch.close(succeeded=True)
+                    await self._wait_before_retry()
+                    continue
                 case Success(dispatch):
                     pass
                 case Failure(refusal) if not self.stream.sent:
@@ -134,7 +139,8 @@
 
     async def _wait_before_retry(self) -> None:
         """Wait until a runner may accept the rest; the deadline bounds the waits."""
-        await self.relay.clock.sleep(_RETRY_DELAY_S)
+        delay_s = _RETRY_DELAY_S * 2 ** min(self.attempts, _MAX_DOUBLINGS)
+        await self.relay.clock.sleep(delay_s)
         self.failed.clear()
 
     async def _relay_from(
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -26,12 +26,14 @@
     """Time that passes only in sleeps."""
 
     now: float = 0.0
+    on_sleep: object = staticmethod(lambda now_s: None)
 
     def now_s(self):
         return self.now
 
     async def sleep(self, delay_s):
         self.now += delay_s
+        self.on_sleep(self.now)
         await asyncio.sleep(0)
 
 
--- a/tests/requests/test_prompts.py
+++ b/tests/requests/test_prompts.py
@@ -72,6 +72,21 @@
     assert outcomes == {"failed_while_running": 50}
 
 
+async def test_engine_that_is_offered_again_gets_time_to_come_back():
+    rng = random.Random(1)
+    dispatcher = FakeDispatcher(["a"], rng)
+    place = dispatcher.place
+    dispatcher.place = lambda profile, *, excluded=(): place(profile)
+    relay = make_relay(FakeEngines(rng, faults=("busy",), fault_share=1.0), dispatcher)
+    relay.clock.on_sleep = lambda now_s: (
+        now_s > 2.0 and setattr(relay.client, "fault_share", 0.0)
+    )
+    body = make_body(1, 5)
+    lines = await collect_lines(relay, make_stream(), body)
+    assert judge_answer(body.prompt, 5, lines) == ("answered", [])
+    assert not dispatcher.open_dispatches
+
+
 def take_crossed(accept):
     def mutant(self, lines):
         own = [
