--- a/lacewinglug/routing/ledger.py
+++ b/lacewinglug/routing/ledger.py
@@ -8,7 +8,7 @@
 _MAX_CHANGES = 128
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class LoadEstimate:
     """Load of a runner as predicted for now.
 
@@ -22,7 +22,7 @@
     prefill_tokens: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class _Change:
     at_s: float
     in_flight: int
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -14,10 +14,12 @@
 from lacewinglug.platform.hosts import HttpHostListClient
 from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
+from lacewinglug.steward.burn_fold import BurnFolder
 from lacewinglug.steward.hosts import HostListWatcher
 from lacewinglug.steward.known_hosts import KnownHosts
 from lacewinglug.steward.order_setup import make_order_manager
 from lacewinglug.steward.peers import PeerExchange
+from lacewinglug.steward.planned_roles import PlannedRoleSource
 from lacewinglug.steward.poller import RunnerPoller
 from lacewinglug.steward.replica import Replica
 from lacewinglug.steward.server import ControlServer
@@ -74,6 +76,7 @@
             clock=clock,
             metrics=metrics,
         )
+        server.bind()
         replica.listeners.append(server.notify_config)
         tail = LogTail(
             log=log,
@@ -95,6 +98,9 @@
             metrics=metrics,
             ids=IdFactory(host=f"{host}-upkeep", incarnation=incarnation),
         )
+        folder = BurnFolder(
+            log=log, is_holder=keeper.holds_tenure, clock=clock, metrics=metrics
+        )
         known_hosts = KnownHosts(
             host=host,
             state=state,
@@ -114,6 +120,7 @@
             metrics=metrics,
             order_session=order_session,
             rng=random.Random(incarnation),
+            roles=PlannedRoleSource(state=state, fresh_reports=poller.fresh),
         )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
@@ -124,4 +131,5 @@
             group.create_task(known_hosts.run())
             await server.bound.wait()
             group.create_task(keeper.run())
+            group.create_task(folder.run())
             group.create_task(manager.run())
--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections import Counter
 
 import aiohttp
 import pytest
@@ -142,6 +143,23 @@
     assert (await stage.runs())["order-late"] == 0
 
 
+async def test_caller_library_repeats_at_another_entry(stage):
+    client = stage.caller("entry-1")
+    await client.fetch_addresses()
+    await stage.set_faults(late_replies=1, late_s=1.0)
+    first = asyncio.create_task(
+        client.run_call(SERVICE, "unlock", "bay of the library")
+    )
+    await asyncio.sleep(0.5)
+    owner = client.addresses[0]
+    [host] = [name for name in HOSTS if stage.deployment.entry_url(name) == owner]
+    await kill_and_restart(stage, host)
+    failure = (await first).failure()
+    assert (failure.outcome, failure.repeat_with) == ("outcome_unknown", "")
+    reply = await client.run_call(SERVICE, "unlock", "bay of the library")
+    assert reply.unwrap().result == "done /unlock bay of the library"
+
+
 async def test_idempotent_call_needs_no_key(stage):
     client = stage.caller("entry-1")
     reply = (await client.send_call(SERVICE, "bays", "")).unwrap()
@@ -177,3 +195,25 @@
             await asyncio.sleep(0.01)
     answered = [key for key, told in stage.told.items() if "answered" in told]
     assert len(answered) > 100
+
+
+@pytest.mark.parametrize(
+    ("told", "runs"),
+    [
+        (["answered"], 0),
+        (["answered"], 2),
+        (["outcome_unknown"], 2),
+        (["not_run"], 1),
+        (["outcome_unknown", "not_run"], 1),
+    ],
+)
+async def test_judge_of_the_journal_finds_a_broken_promise(monkeypatch, told, runs):
+    async def fake_runs(_):
+        return Counter({"key": runs})
+
+    monkeypatch.setattr(CallStage, "runs", fake_runs)
+    stage = CallStage(
+        deployment=None, session=None, relay=None, service_port=0, told={"key": told}
+    )
+    with pytest.raises(AssertionError):
+        await stage.judge()
