Leave runners that never reported, and judge deadlines in the product by wait and prompt only

Callers' token limits are no predicted lengths, so an entry no longer refuses on them; entry tests of silent services and of deadlines fail without this.

--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -191,6 +191,7 @@
         for job in self.jobs:
             self.loop.at(job.arrival_s, self._arrive, job)
         for index, engine in enumerate(self.engines):
+            self._report(engine, engine.report(), 0.0)
             self.loop.at(index * 0.08, self._poll, engine)
         for index in range(len(self.entries)):
             self.loop.at(0.01 + index * TICK_S / ENTRIES, self._tick, index)
--- a/lacewinglug/entry/dispatch.py
+++ b/lacewinglug/entry/dispatch.py
@@ -119,7 +119,9 @@
     clock: Clock
     metrics: Metrics
     entry: str = ""
-    settings: PolicySettings = field(default_factory=PolicySettings)
+    settings: PolicySettings = field(
+        default_factory=lambda: PolicySettings(known_lengths=False)
+    )
     _policies: dict[str, RoutingPolicy] = field(default_factory=dict)
     _fleet: Fleet | None = None
     _status_updates: int = -1
--- a/lacewinglug/routing/ledger.py
+++ b/lacewinglug/routing/ledger.py
@@ -5,6 +5,8 @@
 
 from lacewinglug.upstream.messages import LoadReport
 
+_MAX_CHANGES = 128
+
 
 @dataclass(kw_only=True, slots=True)
 class LoadEstimate:
@@ -72,6 +74,16 @@
                 prefill_tokens=prefill_tokens,
             )
         )
+        if len(self._changes) > _MAX_CHANGES:
+            self._merge_oldest()
+
+    def _merge_oldest(self) -> None:
+        """Bound the memory while no report comes."""
+        first = self._changes.popleft()
+        second = self._changes[0]
+        second.in_flight += first.in_flight
+        second.low_priority += first.low_priority
+        second.prefill_tokens += first.prefill_tokens
 
     def note_report(self, report: LoadReport, sampled_s: float) -> None:
         """Take a report unless a newer one is known."""
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -34,7 +34,6 @@
 _HOLD_SAMPLE_WEIGHT = 0.05
 _RATIO_SAMPLE_WEIGHT = 0.2
 _WORK_SAMPLE_WEIGHT = 0.02
-_DEADLINE_MARGIN = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,6 +72,8 @@
     :param priorities: let engines run work of more value a token first.
     :param migration: move streams off runners that have become slow.
     :param planning: plan the engine roles.
+    :param known_lengths: whether answers are about as long as callers allow; if
+        not, only the wait and the prompt count against a deadline.
     :param mirror: entries assumed to send as this one does between reports,
         as a share of all entries; 0 assumes none.
     """
@@ -87,6 +88,7 @@
     priorities: bool = True
     migration: bool = True
     planning: bool = True
+    known_lengths: bool = True
     mirror: float = 0.5
 
 
@@ -165,8 +167,7 @@
         """Return whether reports are recent and no request failed lately."""
         if now_s < self.avoided_until_s:
             return False
-        report_age_s = now_s - self.ledger.sampled_s
-        return self.ledger.report is None or report_age_s < STALE_REPORT_S
+        return now_s - self.ledger.sampled_s < STALE_REPORT_S
 
 
 @dataclass(kw_only=True)
@@ -511,10 +512,11 @@
             for name in self._candidates.pick(affinity)
             if (record := self._records[name]).accepts_work and name not in excluded
         ]
-        reachable = [record for record in usable if record.is_reachable(now_s)]
+        reported = [record for record in usable if record.ledger.report is not None]
+        reachable = [record for record in reported if record.is_reachable(now_s)]
         return [
             self._state(record, profile, now_s, mirror)
-            for record in reachable or usable
+            for record in reachable or reported or usable
         ]
 
     def _state(
@@ -550,8 +552,12 @@
     def _misses_deadline(
         self, profile: RequestProfile, placement: Placement, now_s: float
     ) -> bool:
-        predicted_s = now_s + _DEADLINE_MARGIN * placement.finish_s
-        return predicted_s > profile.deadline_s
+        if self.settings.known_lengths:
+            return now_s + placement.finish_s > profile.deadline_s
+        least_s = placement.first_token_s
+        if placement.runner.does == "plain":
+            least_s = placement.slot_wait_s
+        return now_s + least_s > profile.deadline_s
 
     def _admit(
         self,
