--- a/bench/policy/ablation.py
+++ b/bench/policy/ablation.py
@@ -8,7 +8,7 @@
 
 from bench.policy.measure import Task, run_tasks
 from bench.policy.runs import LACEWINGLUG
-from lacewinglug.routing.policy import PolicySettings
+from lacewinglug.routing.rules import PolicySettings
 
 SEEDS = 4
 
--- a/bench/policy/entries.py
+++ b/bench/policy/entries.py
@@ -16,13 +16,8 @@
 from lacewinglug.routing.migration import (
     MIN_SLOWNESS,
 )
-from lacewinglug.routing.policy import (
-    PolicySettings,
-    Refusal,
-    RoutingPolicy,
-    RunnerFacts,
-    Wait,
-)
+from lacewinglug.routing.policy import RoutingPolicy
+from lacewinglug.routing.rules import PolicySettings, Refusal, RunnerFacts, Wait
 from lacewinglug.upstream.messages import LoadReport
 
 _ORGANISATION_WEIGHTS = {"a": 4.0, "b": 3.0, "c": 2.0, "d": 1.0}
--- a/bench/policy/measure.py
+++ b/bench/policy/measure.py
@@ -31,7 +31,7 @@
     make_steady,
 )
 from bench.policy.simulation import Simulation
-from lacewinglug.routing.policy import PolicySettings
+from lacewinglug.routing.rules import PolicySettings
 
 SEEDS = 10
 WORKERS = 4
--- a/bench/policy/runs.py
+++ b/bench/policy/runs.py
@@ -7,7 +7,7 @@
 from bench.policy.planners import PolicyPlanner, ReactivePlanner
 from bench.policy.scenarios import Case
 from bench.policy.simulation import Simulation, copy_jobs
-from lacewinglug.routing.policy import PolicySettings
+from lacewinglug.routing.rules import PolicySettings
 
 LACEWINGLUG = "lacewinglug"
 BASELINES = ("round_robin", "least_requests", "static_roles", "reactive_roles")
--- a/lacewinglug/entry/dispatch.py
+++ b/lacewinglug/entry/dispatch.py
@@ -12,15 +12,10 @@
 from lacewinglug.metrics import Metrics
 from lacewinglug.requests.outcomes import NotRun
 from lacewinglug.routing.choice import Placement
-from lacewinglug.routing.policy import (
-    PolicySettings,
-    Refusal,
-    RoutingPolicy,
-    RunnerFacts,
-    Wait,
-)
+from lacewinglug.routing.policy import RoutingPolicy
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.routing.rates import PLAIN_RATES, EngineRates, rates_of
+from lacewinglug.routing.rules import PolicySettings, Refusal, RunnerFacts, Wait
 
 _ROOM_WAIT_S = 0.1
 _SECONDS_PER_PRICE_UNIT = 1000.0
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -1,11 +1,12 @@
 """Admission and routing of one entry: typed state in, decision out."""
 
 from collections import Counter
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from lacewinglug.routing.admission import AdmissionControl, Offer
 from lacewinglug.routing.candidates import CandidateSet, rank_runners
+from lacewinglug.routing.capacity import Capacity, sum_capacity
 from lacewinglug.routing.choice import (
     Placement,
     RunnerState,
@@ -14,17 +15,18 @@
     choose_placement,
 )
 from lacewinglug.routing.lanes import Lane, choose_lane, choose_priority
-from lacewinglug.routing.ledger import RunnerLedger
-from lacewinglug.routing.migration import StreamPrognosis, is_worth_moving
-from lacewinglug.routing.prefix import PrefixHints
+from lacewinglug.routing.migration import (
+    StreamPrognosis,
+    is_worth_moving,
+    remaining_s,
+)
 from lacewinglug.routing.profile import RequestProfile
-from lacewinglug.routing.rates import EngineRates
-from lacewinglug.routing.slowness import RetryBudget, SlownessTracker
+from lacewinglug.routing.record import RunnerRecord
+from lacewinglug.routing.rules import PolicySettings, Refusal, RunnerFacts, Wait
+from lacewinglug.routing.slowness import RetryBudget
 from lacewinglug.upstream.messages import LoadReport
 
-RETRY_AFTER_S = 2.0
 AVOID_S = 2.0
-STALE_REPORT_S = 3.0
 CAPACITY_REFRESH_S = 0.25
 PREFILL_WAIT_S = 0.02
 SLOT_WAIT_S = 0.5
@@ -36,140 +38,9 @@
 _WORK_SAMPLE_WEIGHT = 0.02
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RunnerFacts:
-    """What the configuration says of a runner.
-
-    :param name: name of the runner.
-    :param rates: rates by name of the engine role.
-    :param does: phases by name of the engine role.
-    :param default_role: role assumed while none is reported.
-    :param region: region that it stands in.
-    :param delay_s: one-way delay from this entry, in seconds.
-    :param cost_s: cost of its region by volume, expressed in seconds.
-    """
-
-    name: str
-    rates: Mapping[str, EngineRates]
-    does: Mapping[str, str]
-    default_role: str = ""
-    region: str = ""
-    delay_s: float = 0.0
-    cost_s: float = 0.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PolicySettings:
-    """Switches of the rules, for measuring each against its absence.
-
-    :param admission: refuse work of low value at a crest.
-    :param deadlines: refuse work that would finish past its deadline.
-    :param lanes: hold long work to a share of slots and to low priority.
-    :param prefixes: prefer runners that cache the prompt's prefix.
-    :param slowness: avoid runners whose own response times are long.
-    :param split: compute the prompt and generate the answer on two runners.
-    :param fair_shares: weigh organisations at a crest.
-    :param priorities: let engines run work of more value a token first.
-    :param migration: move streams off runners that have become slow.
-    :param planning: plan the engine roles.
-    :param known_lengths: whether answers are about as long as callers allow; if
-        not, only the wait and the prompt count against a deadline.
-    :param mirror: entries assumed to send as this one does between reports,
-        as a share of all entries; 0 assumes none.
-    """
-
-    admission: bool = True
-    deadlines: bool = True
-    lanes: bool = True
-    prefixes: bool = True
-    slowness: bool = True
-    split: bool = True
-    fair_shares: bool = True
-    priorities: bool = True
-    migration: bool = True
-    planning: bool = True
-    known_lengths: bool = True
-    mirror: float = 0.5
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Refusal:
-    """A request that is refused at once.
-
-    :param reason: why, in words.
-    :param retry_after_s: when to try again, in seconds.
-    """
-
-    reason: str
-    retry_after_s: float = RETRY_AFTER_S
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Wait:
-    """A request that waits at the entry until a runner has room for its lane."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Capacity:
-    """Runner time for each phase, in seconds a second of the best role."""
-
-    prefill: float
-    decode: float
-    best_prefill_tokens_per_s: float
-    best_decode_tokens_per_s: float
-
-
-_PHASE_SHARES = {
-    "prefill": (1.0, 0.0),
-    "decode": (0.1, 1.0),
-    "plain": (1.0, 1.0),
-}
-
 Decision = Placement | Refusal | Wait
 
 
-@dataclass(kw_only=True)
-class _RunnerRecord:
-    """Owns what the policy keeps of a runner."""
-
-    facts: RunnerFacts
-    ledger: RunnerLedger = field(default_factory=RunnerLedger)
-    hints: PrefixHints = field(default_factory=PrefixHints)
-    slowness: SlownessTracker = field(default_factory=SlownessTracker)
-    available: bool = True
-    avoided_until_s: float = float("-inf")
-    ordered_role: str = ""
-    long_rank: int = 0
-    hold_s: float = 0.5
-    first_token_ratio: float = 1.0
-
-    @property
-    def role(self) -> str:
-        if self.ordered_role:
-            return self.ordered_role
-        report = self.ledger.report
-        reported = report.role if report else ""
-        return reported if reported in self.facts.rates else self.facts.default_role
-
-    @property
-    def slots(self) -> int:
-        report = self.ledger.report
-        if report is None or report.slots < 1 or self.ordered_role:
-            return self.facts.rates[self.role].slots
-        return report.slots
-
-    @property
-    def accepts_work(self) -> bool:
-        report = self.ledger.report
-        return self.available and (report is None or report.state == "ready")
-
-    def is_reachable(self, now_s: float) -> bool:
-        """Return whether reports are recent and no request failed lately."""
-        if now_s < self.avoided_until_s:
-            return False
-        return now_s - self.ledger.sampled_s < STALE_REPORT_S
-
-
 @dataclass(kw_only=True)
 class RoutingPolicy:
     """Owns an entry's account of the runners of one service.
@@ -187,9 +58,9 @@
     retries: RetryBudget = field(default_factory=RetryBudget)
 
     def __post_init__(self) -> None:
-        self._records: dict[str, _RunnerRecord] = {}
+        self._records: dict[str, RunnerRecord] = {}
         self._queued: Counter[int] = Counter()
-        self._known_capacity: _Capacity | None = None
+        self._known_capacity: Capacity | None = None
         self._capacity_at_s = float("-inf")
         self._mean_prefill_s = 0.0
         self._mean_decode_s = 0.0
@@ -209,7 +80,7 @@
         for item in facts:
             record = known.get(item.name)
             if record is None:
-                record = _RunnerRecord(facts=item)
+                record = RunnerRecord(facts=item)
             record.facts = item
             self._records[item.name] = record
         self._candidates.update(tuple(self._records))
@@ -462,8 +333,8 @@
         if there is None:
             return None
         prognosis = StreamPrognosis(
-            here_s=_remaining_s(profile, here, computed, remaining_tokens),
-            there_s=_remaining_s(profile, there, computed, remaining_tokens),
+            here_s=remaining_s(profile, here, computed, remaining_tokens),
+            there_s=remaining_s(profile, there, computed, remaining_tokens),
             move_s=self._move_s(profile, computed, here.region != there.region),
         )
         return there.name if is_worth_moving(prognosis) else None
@@ -521,7 +392,7 @@
 
     def _state(
         self,
-        record: _RunnerRecord,
+        record: RunnerRecord,
         profile: RequestProfile,
         now_s: float,
         mirror: float,
@@ -593,46 +464,15 @@
             slot, capacity=capacity.decode * share, now_s=now_s
         )
 
-    def _capacity(self, now_s: float) -> _Capacity:
+    def _capacity(self, now_s: float) -> Capacity:
         """Return the runner time for each phase, in seconds a second."""
         age_s = now_s - self._capacity_at_s
         if self._known_capacity is None or age_s > CAPACITY_REFRESH_S:
-            self._known_capacity = self._sum_capacity(now_s)
+            total_s = self._mean_prefill_s + self._mean_decode_s
+            self._known_capacity = sum_capacity(
+                self._records.values(),
+                mixed_prefill_share=self._mean_prefill_s / total_s if total_s else 0.5,
+                now_s=now_s,
+            )
             self._capacity_at_s = now_s
         return self._known_capacity
-
-    def _sum_capacity(self, now_s: float) -> _Capacity:
-        """Add up the runners that accept work."""
-        records = [item for item in self._records.values() if item.accepts_work]
-        roles = [item.facts.rates[item.role] for item in records]
-        best_prefill = max(item.prefill_tokens_per_s for item in roles)
-        best_decode = max(item.decode_tokens_per_s for item in roles)
-        total_s = self._mean_prefill_s + self._mean_decode_s
-        mixed_share = self._mean_prefill_s / total_s if total_s > 0 else 0.5
-        prefill = 0.0
-        decode = 0.0
-        for record, rates in zip(records, roles, strict=True):
-            speed = 1.0 / record.slowness.current(now_s)
-            does = record.facts.does[record.role]
-            shares = _PHASE_SHARES.get(does, (mixed_share, 1.0 - mixed_share))
-            prefill += speed * shares[0] * rates.prefill_tokens_per_s / best_prefill
-            decode += speed * shares[1] * rates.decode_tokens_per_s / best_decode
-        return _Capacity(
-            prefill=prefill,
-            decode=decode,
-            best_prefill_tokens_per_s=best_prefill,
-            best_decode_tokens_per_s=best_decode,
-        )
-
-
-def _remaining_s(
-    profile: RequestProfile, state: RunnerState, computed: bool, tokens: int
-) -> float:
-    """Predict the time to the end of a request on a runner, in seconds."""
-    rates = state.rates
-    remaining_s = tokens * rates.token_interval_s(state.in_flight) * state.slowness
-    if not computed:
-        missing = profile.missing_tokens(state.cached_pieces)
-        rate = rates.shared_prefill_tokens_per_s(state.in_flight) / state.slowness
-        remaining_s += (missing + state.prefill_tokens) / rate
-    return remaining_s
--- a/tests/routing/helpers.py
+++ b/tests/routing/helpers.py
@@ -1,9 +1,10 @@
 """Short makers of the routing's inputs."""
 
 from lacewinglug.routing.choice import RunnerState
-from lacewinglug.routing.policy import PolicySettings, RoutingPolicy, RunnerFacts
+from lacewinglug.routing.policy import RoutingPolicy
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.routing.rates import EngineRates
+from lacewinglug.routing.rules import PolicySettings, RunnerFacts
 from lacewinglug.upstream.messages import LoadReport
 
 MIXED = EngineRates(prefill_tokens_per_s=12000, decode_tokens_per_s=1600, slots=32)
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lacewinglug.routing.choice import Placement
-from lacewinglug.routing.policy import Refusal, Wait
+from lacewinglug.routing.rules import Refusal, Wait
 from tests.routing.helpers import make_policy, make_profile, make_report
 
 
