--- a/bench/policy/runs.py
+++ b/bench/policy/runs.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Sequence
 
+from bench.policy.baselines import BaselineEntry
 from bench.policy.engine import Job
-from bench.policy.entries import BaselineEntry, PolicyEntry
+from bench.policy.entries import PolicyEntry
 from bench.policy.planners import PolicyPlanner, ReactivePlanner
 from bench.policy.scenarios import Case
 from bench.policy.simulation import Simulation, copy_jobs
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -4,9 +4,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
-from lacewinglug.routing.admission import AdmissionControl, Offer
 from lacewinglug.routing.candidates import CandidateSet, rank_runners
-from lacewinglug.routing.capacity import Capacity, sum_capacity
 from lacewinglug.routing.choice import (
     Placement,
     RunnerState,
@@ -20,6 +18,7 @@
     is_worth_moving,
     remaining_s,
 )
+from lacewinglug.routing.phases import PhaseAdmission
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.routing.record import RunnerRecord
 from lacewinglug.routing.rules import PolicySettings, Refusal, RunnerFacts, Wait
@@ -27,15 +26,11 @@
 from lacewinglug.upstream.messages import LoadReport
 
 AVOID_S = 2.0
-CAPACITY_REFRESH_S = 0.25
-PREFILL_WAIT_S = 0.02
-SLOT_WAIT_S = 0.5
 FIRST_TOKEN_SLACK_S = 0.2
 CALL_SLACK_S = 0.05
 _LONG_KEY = "long"
 _HOLD_SAMPLE_WEIGHT = 0.05
 _RATIO_SAMPLE_WEIGHT = 0.2
-_WORK_SAMPLE_WEIGHT = 0.02
 
 
 Decision = Placement | Refusal | Wait
@@ -60,18 +55,8 @@
     def __post_init__(self) -> None:
         self._records: dict[str, RunnerRecord] = {}
         self._queued: Counter[int] = Counter()
-        self._known_capacity: Capacity | None = None
-        self._capacity_at_s = float("-inf")
-        self._mean_prefill_s = 0.0
-        self._mean_decode_s = 0.0
         self._candidates = CandidateSet(entry=self.entry)
-        fair_shares = self.settings.fair_shares
-        self._prefill_admission = AdmissionControl(
-            target_wait_s=PREFILL_WAIT_S, fair_shares=fair_shares
-        )
-        self._slot_admission = AdmissionControl(
-            target_wait_s=SLOT_WAIT_S, fair_shares=fair_shares
-        )
+        self._admission = PhaseAdmission(fair_shares=self.settings.fair_shares)
 
     def update_runners(self, facts: Sequence[RunnerFacts]) -> None:
         """Take the runners of the service from the configuration."""
@@ -89,7 +74,7 @@
 
     def set_unavailable(self, names: Collection[str]) -> None:
         """Take the runners that get no new work."""
-        self._known_capacity = None
+        self._admission.forget_capacity()
         for name, record in self._records.items():
             record.available = name not in names
 
@@ -151,7 +136,14 @@
         if self.settings.deadlines and self._misses_deadline(profile, placement, now_s):
             return Refusal(reason="the answer would come after the deadline")
         is_new = self.settings.admission and not admitted and lane is Lane.SHORT
-        if is_new and not self._admit(profile, placement, organisation_weight, now_s):
+        if is_new and not self._admission.admit(
+            profile,
+            placement,
+            organisation_weight=organisation_weight,
+            records=self._records.values(),
+            entries=self.entries,
+            now_s=now_s,
+        ):
             return Refusal(reason="the runners are full with work of more value")
         return placement
 
@@ -386,40 +378,10 @@
         reported = [record for record in usable if record.ledger.report is not None]
         reachable = [record for record in reported if record.is_reachable(now_s)]
         return [
-            self._state(record, profile, now_s, mirror)
+            record.state(profile, self.settings, now_s=now_s, mirror=mirror)
             for record in reachable or reported or usable
         ]
 
-    def _state(
-        self,
-        record: RunnerRecord,
-        profile: RequestProfile,
-        now_s: float,
-        mirror: float,
-    ) -> RunnerState:
-        role = record.role
-        facts = record.facts
-        load = record.ledger.estimate(mirror=mirror)
-        settings = self.settings
-        return RunnerState(
-            name=facts.name,
-            rates=facts.rates[role],
-            does=facts.does[role],
-            slots=record.slots,
-            in_flight=load.in_flight,
-            low_priority=load.low_priority,
-            prefill_tokens=load.prefill_tokens,
-            cached_pieces=(
-                record.hints.matched(profile.prefix_hashes) if settings.prefixes else 0
-            ),
-            slowness=record.slowness.current(now_s) if settings.slowness else 1.0,
-            long_rank=record.long_rank,
-            hold_s=record.hold_s,
-            region=facts.region,
-            delay_s=facts.delay_s,
-            cost_s=facts.cost_s,
-        )
-
     def _misses_deadline(
         self, profile: RequestProfile, placement: Placement, now_s: float
     ) -> bool:
@@ -429,50 +391,3 @@
         if placement.runner.does == "plain":
             least_s = placement.slot_wait_s
         return now_s + least_s > profile.deadline_s
-
-    def _admit(
-        self,
-        profile: RequestProfile,
-        placement: Placement,
-        organisation_weight: float,
-        now_s: float,
-    ) -> bool:
-        """Return whether a request is worth the runners' time in both phases."""
-        capacity = self._capacity(now_s)
-        prefill = Offer(
-            organisation=profile.organisation,
-            organisation_weight=organisation_weight,
-            value=profile.weight,
-            work_s=placement.prefill_tokens / capacity.best_prefill_tokens_per_s,
-            wait_s=placement.prefill_wait_s,
-        )
-        slot = Offer(
-            organisation=profile.organisation,
-            organisation_weight=organisation_weight,
-            value=profile.weight,
-            work_s=profile.output_tokens / capacity.best_decode_tokens_per_s,
-            wait_s=placement.slot_wait_s,
-        )
-        self._mean_prefill_s += _WORK_SAMPLE_WEIGHT * (
-            prefill.work_s - self._mean_prefill_s
-        )
-        self._mean_decode_s += _WORK_SAMPLE_WEIGHT * (slot.work_s - self._mean_decode_s)
-        share = 1.0 / self.entries
-        return self._prefill_admission.admit(
-            prefill, capacity=capacity.prefill * share, now_s=now_s
-        ) and self._slot_admission.admit(
-            slot, capacity=capacity.decode * share, now_s=now_s
-        )
-
-    def _capacity(self, now_s: float) -> Capacity:
-        """Return the runner time for each phase, in seconds a second."""
-        age_s = now_s - self._capacity_at_s
-        if self._known_capacity is None or age_s > CAPACITY_REFRESH_S:
-            total_s = self._mean_prefill_s + self._mean_decode_s
-            self._known_capacity = sum_capacity(
-                self._records.values(),
-                mixed_prefill_share=self._mean_prefill_s / total_s if total_s else 0.5,
-                now_s=now_s,
-            )
-            self._capacity_at_s = now_s
-        return self._known_capacity
--- a/lacewinglug/routing/record.py
+++ b/lacewinglug/routing/record.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass, field
 
+from lacewinglug.routing.choice import RunnerState
 from lacewinglug.routing.ledger import RunnerLedger
 from lacewinglug.routing.prefix import PrefixHints
-from lacewinglug.routing.rules import RunnerFacts
+from lacewinglug.routing.profile import RequestProfile
+from lacewinglug.routing.rules import PolicySettings, RunnerFacts
 from lacewinglug.routing.slowness import SlownessTracker
 
 STALE_REPORT_S = 3.0
@@ -53,3 +55,40 @@
         if now_s < self.avoided_until_s:
             return False
         return now_s - self.ledger.sampled_s < STALE_REPORT_S
+
+    def state(
+        self,
+        profile: RequestProfile,
+        settings: PolicySettings,
+        *,
+        now_s: float,
+        mirror: float,
+    ) -> RunnerState:
+        """Return what is known of the runner for a request.
+
+        :param profile: the request.
+        :param settings: rules in force.
+        :param now_s: time, in seconds.
+        :param mirror: entries assumed to have sent what this one has sent.
+        """
+        role = self.role
+        facts = self.facts
+        load = self.ledger.estimate(mirror=mirror)
+        return RunnerState(
+            name=facts.name,
+            rates=facts.rates[role],
+            does=facts.does[role],
+            slots=self.slots,
+            in_flight=load.in_flight,
+            low_priority=load.low_priority,
+            prefill_tokens=load.prefill_tokens,
+            cached_pieces=(
+                self.hints.matched(profile.prefix_hashes) if settings.prefixes else 0
+            ),
+            slowness=self.slowness.current(now_s) if settings.slowness else 1.0,
+            long_rank=self.long_rank,
+            hold_s=self.hold_s,
+            region=facts.region,
+            delay_s=facts.delay_s,
+            cost_s=facts.cost_s,
+        )
