--- a/bench/policy/runs.py
+++ b/bench/policy/runs.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Sequence
 
+from bench.policy.baselines import BaselineEntry
 from bench.policy.engine import Job
-from bench.policy.entries import BaselineEntry, PolicyEntry
+from bench.policy.entries import PolicyEntry
 from bench.policy.planners import PolicyPlanner, ReactivePlanner
 from bench.policy.scenarios import Case
 from bench.policy.simulation import Simulation, copy_jobs
-from lacewinglug.routing.policy import PolicySettings
+from lacewinglug.routing.rules import PolicySettings
 
 LACEWINGLUG = "lacewinglug"
 BASELINES = ("round_robin", "least_requests", "static_roles", "reactive_roles")
--- a/lacewinglug/routing/ledger.py
+++ b/lacewinglug/routing/ledger.py
@@ -78,16 +78,12 @@
             self._merge_oldest()
 
     def _merge_oldest(self) -> None:
-        """Merge the two oldest changes, so that a missing report costs no memory."""
+        """Bound the memory while no report comes."""
         first = self._changes.popleft()
-        second = self._changes.popleft()
-        merged = _Change(
-            at_s=second.at_s,
-            in_flight=first.in_flight + second.in_flight,
-            low_priority=first.low_priority + second.low_priority,
-            prefill_tokens=first.prefill_tokens + second.prefill_tokens,
-        )
-        self._changes.appendleft(merged)
+        second = self._changes[0]
+        second.in_flight += first.in_flight
+        second.low_priority += first.low_priority
+        second.prefill_tokens += first.prefill_tokens
 
     def note_report(self, report: LoadReport, sampled_s: float) -> None:
         """Take a report unless a newer one is known."""
