Keep signal handlers until the process has ended, and show burn in the demo

Cause: asyncio restores the default handler when its loop closes, so a second SIGTERM in the last moments of a shutdown ended the entry with status -15; the demo met it when it stopped two entries.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -3,7 +3,6 @@
 import asyncio
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 import aiohttp
@@ -17,13 +16,15 @@
 
 HOSTS = ["entry-1", "entry-2"]
 RUNNERS = ["assistant-1", "assistant-2", "locker-app-1"]
-_READY_TIMEOUT_S = 20.0
+ENTRY_SETTINGS = "address_ttl_s = 1.0\n"
 
 
 def main() -> int:
     """Run the demo and return the exit status."""
     with tempfile.TemporaryDirectory(prefix="lacewinglug-") as folder:
-        deployment = Deployment(example="volt-trottoir", folder=Path(folder))
+        deployment = Deployment(
+            example="volt-trottoir", folder=Path(folder), entry_settings=ENTRY_SETTINGS
+        )
         try:
             with deployment:
                 _run(deployment)
@@ -41,11 +42,16 @@
     deployment.start_hosts(HOSTS)
     print(f"$ lacewinglug publish {deployment.example}")
     print(deployment.publish().strip())
-    for host in HOSTS:
-        deployment.wait_url(f"{host}.entry", f"{deployment.entry_url(host)}/v1/status")
+    deployment.wait_serving(HOSTS, RUNNERS)
     asyncio.run(_call(deployment))
     print("$ lacewinglug status")
     print(deployment.run_command("status").stdout)
+    print("stopping the entry hosts; each hands over what it counted")
+    statuses = deployment.stop_together([f"{host}.entry" for host in HOSTS])
+    if any(statuses):
+        raise DeploymentError(f"the entries ended with exit statuses {statuses}")
+    print("$ lacewinglug report burn")
+    print(deployment.run_command("report", "burn").stdout)
 
 
 async def _call(deployment: Deployment) -> None:
@@ -56,7 +62,7 @@
             organisation="volt-trottoir",
             region="mtl",
         )
-        await _wait_for_addresses(caller)
+        await caller.fetch_addresses()
         print(f"entry addresses for a caller in mtl: {caller.addresses}")
         body = PromptBody(prompt="which bay has the fullest battery", max_tokens=8)
         texts = [text async for text in caller.send_prompt("assistant", body)]
@@ -70,15 +76,5 @@
             raise DeploymentError("the unlock and its repeat differ")
 
 
-async def _wait_for_addresses(caller: CallerClient) -> None:
-    """Wait until the entry hosts serve with the published configuration."""
-    deadline_s = time.monotonic() + _READY_TIMEOUT_S
-    while time.monotonic() < deadline_s:
-        if len((await caller.fetch_addresses()).addresses) == len(HOSTS):
-            return
-        await asyncio.sleep(0.1)
-    raise DeploymentError("the entry hosts did not take the configuration in time")
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -13,8 +13,11 @@
 from pathlib import Path
 from typing import Self
 
+import msgspec
+
 from lacewinglug.config.loading import load_config
 from lacewinglug.config.objects import Fleet, Runner
+from lacewinglug.entry.app import StatusReply
 
 _EXAMPLE_PORT = re.compile(r"\b87(\d\d)\b")
 _PORT_COUNT = 100
@@ -194,6 +197,33 @@
                 time.sleep(_POLL_INTERVAL_S)
         raise DeploymentError(f"{name} does not answer:\n{self.read_log(name)}")
 
+    def wait_serving(self, hosts: list[str], runners: list[str]) -> None:
+        """Wait until entries serve with hosts and runners that are ready."""
+        deadline_s = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            if all(self._is_serving(host, hosts, runners) for host in hosts):
+                return
+            time.sleep(_POLL_INTERVAL_S)
+        raise DeploymentError(
+            f"{', '.join(runners)} not ready at {', '.join(hosts)} in time"
+        )
+
+    def _is_serving(self, host: str, hosts: list[str], runners: list[str]) -> bool:
+        url = f"{self.entry_url(host)}/v1/status"
+        try:
+            with urllib.request.urlopen(url, timeout=1.0) as response:
+                reply = msgspec.json.decode(response.read(), type=StatusReply)
+        except (urllib.error.URLError, OSError):
+            return False
+        live = {item.host for item in reply.hosts if item.state == "live"}
+        ready = {
+            item.runner
+            for item in reply.runners
+            if item.report.state == "ready"
+            and item.report.role == self.fleet.runners[item.runner].initial_role
+        }
+        return live >= set(hosts) and ready >= set(runners)
+
     def read_log(self, name: str) -> str:
         """Return what a process wrote."""
         return (self.folder / f"{name}.log").read_text()
@@ -210,6 +240,12 @@
             process.kill()
             return process.wait()
 
+    def stop_together(self, names: list[str]) -> list[int]:
+        """Stop processes at the same time and return their exit statuses."""
+        for name in names:
+            self.send_signal(name, signal.SIGTERM)
+        return [self.stop(name) for name in names]
+
     def stop_all(self) -> None:
         """Stop every process, gracefully where it works."""
         for process in self.processes.values():
--- a/lacewinglug/ui/entry.py
+++ b/lacewinglug/ui/entry.py
@@ -1,7 +1,6 @@
 """The program ``lacewinglug-entry``."""
 
 import asyncio
-import signal
 from pathlib import Path
 
 import click
@@ -10,7 +9,12 @@
 from lacewinglug.entry.process import run_entry
 from lacewinglug.metrics import Metrics
 from lacewinglug.settings import Settings
-from lacewinglug.ui.programs import run_program, set_option, settings_option
+from lacewinglug.ui.programs import (
+    call_on_stop_signal,
+    run_program,
+    set_option,
+    settings_option,
+)
 
 
 @click.command(epilog="Example: lacewinglug-entry --settings entry-1.toml")
@@ -25,9 +29,7 @@
 
 async def _run(settings: Settings, incarnation: str, metrics: Metrics) -> None:
     stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
+    call_on_stop_signal(stop_requested.set)
     await run_entry(
         settings=settings,
         incarnation=incarnation,
--- a/lacewinglug/ui/programs.py
+++ b/lacewinglug/ui/programs.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 import click
@@ -78,8 +79,22 @@
 async def run_until_signal(coroutine: Coroutine[Any, Any, None]) -> None:
     """Run a coroutine until it ends or SIGTERM or SIGINT cancels it."""
     task = asyncio.ensure_future(coroutine)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
+    call_on_stop_signal(task.cancel)
     with contextlib.suppress(asyncio.CancelledError):
         await task
+
+
+def call_on_stop_signal(callback: Callable[[], object]) -> None:
+    """Call back in the running loop on each SIGTERM or SIGINT.
+
+    Unlike the loop's own handlers, this one stays when the loop closes, so that
+    a repeated signal does not kill a process that is about to exit.
+    """
+    loop = asyncio.get_running_loop()
+
+    def handle_signal(_number: int, _frame: FrameType | None) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(callback)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, handle_signal)
--- a/tests/golden/test_whole_session.py
+++ b/tests/golden/test_whole_session.py
@@ -60,6 +60,7 @@
             return len((await caller.fetch_addresses()).addresses) == count
 
         await wait_until(lambda: entries_are(2))
+        await asyncio.to_thread(deployment.wait_serving, HOSTS, RUNNERS)
         transcript.note("entries", caller.addresses)
         body = PromptBody(prompt="which bay is free", max_tokens=5, kind="kiosk")
         texts = [text async for text in caller.send_prompt("assistant", body)]
