--- a/lacewinglug/entry/calls.py
+++ b/lacewinglug/entry/calls.py
@@ -137,7 +137,9 @@
                 outcome = ANSWERED
             case Failure(failure):
                 outcome = outcome_name(failure)
-        self.intake.note_outcome(call.profile, outcome, started_s)
+        self.intake.note_outcome(
+            call.profile, outcome, started_s, runner=call.last_runner
+        )
         return result
 
 
--- a/lacewinglug/entry/intake.py
+++ b/lacewinglug/entry/intake.py
@@ -1,7 +1,9 @@
 """What the handlers of prompts and calls share."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+import xxhash
 from starlette.requests import Request
 
 from lacewinglug.clock import Clock
@@ -12,6 +14,7 @@
 from lacewinglug.metrics import Metrics
 from lacewinglug.report.recorder import OutcomeRecorder, RequestOutcome
 from lacewinglug.requests.outcomes import NotRun
+from lacewinglug.routing.prefix import hash_pieces
 from lacewinglug.routing.profile import RequestProfile
 
 CALLER_HEADER = "X-Caller"
@@ -75,40 +78,61 @@
     def find_kind(
         self, service_name: str, service_kind: ServiceKind, kind_name: str
     ) -> RequestKind | None:
-        """Return a kind of request; an empty name means the service's first."""
+        """Return a kind of request, None where the service has no such kind."""
         service = self.view.fleet.services.get(service_name)
         if service is None or service.kind != service_kind:
             return None
-        if not kind_name:
-            return next(iter(service.kinds.values()))
         return service.kinds.get(kind_name)
 
+    def default_kind(self, service_name: str) -> str:
+        """Return the name of a service's first kind of request."""
+        service = self.view.fleet.services.get(service_name)
+        return next(iter(service.kinds), "") if service else ""
+
     def make_profile(
         self,
         request: Request,
         kind: RequestKind,
         *,
         kind_name: str,
-        prompt_tokens: int = 0,
+        prompt_tokens: Sequence[str] = (),
         output_tokens: int = 0,
     ) -> RequestProfile:
         """Return a request as admission and routing see it."""
+        service = request.path_params["service"]
         return RequestProfile(
             request_id=self.ids.make(),
-            service=request.path_params["service"],
+            service=service,
             kind=kind_name,
             organisation=request.headers.get(CALLER_HEADER, ""),
             weight=kind.weight,
             deadline_s=self.clock.now_s() + kind.timeout_s,
             idempotent=kind.idempotent,
-            prompt_tokens=prompt_tokens,
+            prompt_tokens=len(prompt_tokens),
             output_tokens=output_tokens,
+            prefix_hashes=hash_pieces(prompt_tokens, seed=self._cache_seed(service)),
         )
 
+    def _cache_seed(self, service_name: str) -> int:
+        """Return a number for the version whose KV cache prompts share."""
+        version = self.view.fleet.services[service_name].version
+        return xxhash.xxh3_64_intdigest(version.encode())
+
     def note_outcome(
-        self, profile: RequestProfile, outcome: str, started_s: float
+        self,
+        profile: RequestProfile,
+        outcome: str,
+        started_s: float,
+        *,
+        runner: str = "",
     ) -> None:
-        """Count the outcome of a request."""
+        """Count the outcome of a request.
+
+        :param profile: the request.
+        :param outcome: ``answered``, or the name of the failure.
+        :param started_s: monotonic time of its arrival, in seconds.
+        :param runner: last runner that it was sent to, empty for none.
+        """
         latency_s = self.clock.now_s() - started_s
         self.metrics.count(f"requests.{outcome}")
         self.metrics.timing("requests.latency", latency_s)
@@ -116,7 +140,7 @@
             RequestOutcome(
                 service=profile.service,
                 kind=profile.kind,
-                runner="",
+                runner=runner,
                 outcome=outcome,
                 latency_s=latency_s,
             )
--- a/lacewinglug/entry/prompts.py
+++ b/lacewinglug/entry/prompts.py
@@ -56,14 +56,15 @@
             body = msgspec.json.decode(await request.body(), type=PromptBody)
         except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
             return failure_response(bad_request(str(error)))
-        kind = self.intake.find_kind(service, "model", body.kind)
+        kind_name = body.kind or self.intake.default_kind(service)
+        kind = self.intake.find_kind(service, "model", kind_name)
         if kind is None:
             return failure_response(unknown_kind(service))
         profile = self.intake.make_profile(
             request,
             kind,
-            kind_name=body.kind,
-            prompt_tokens=len(body.prompt.split()),
+            kind_name=kind_name,
+            prompt_tokens=body.prompt.split(),
             output_tokens=body.max_tokens,
         )
         return _AnswerResponse(handler=self, profile=profile, body=body)
@@ -114,7 +115,9 @@
             intake.running -= 1
             listener.cancel()
             if writer.outcome:
-                intake.note_outcome(self.profile, writer.outcome, started_s)
+                intake.note_outcome(
+                    self.profile, writer.outcome, started_s, runner=stream.runner
+                )
             else:
                 intake.metrics.count("prompts.caller_left")
 
--- a/lacewinglug/requests/calls.py
+++ b/lacewinglug/requests/calls.py
@@ -37,6 +37,7 @@
     :param key: key of the call, empty for an idempotent call without one.
     :param timeout_s: time to answer in, in seconds.
     :param authorization: the caller's proof of its organisation.
+    :param runners: runners that it was sent to, in order; filled while it runs.
     """
 
     profile: RequestProfile
@@ -45,6 +46,12 @@
     key: str
     timeout_s: float
     authorization: str = field(default="", repr=False)
+    runners: list[str] = field(default_factory=list)
+
+    @property
+    def last_runner(self) -> str:
+        """Last runner that it was sent to, empty for none."""
+        return self.runners[-1] if self.runners else ""
 
     @property
     def fingerprint(self) -> str:
@@ -140,6 +147,7 @@
         :raises RunnerError: the runner gave no answer to this call.
         """
         succeeded = False
+        call.runners.append(dispatch.runner)
         remaining_s = call.profile.deadline_s - self.clock.now_s()
         try:
             if remaining_s <= 0:
--- a/tests/entry/local.py
+++ b/tests/entry/local.py
@@ -123,7 +123,11 @@
                 change_s=1.0,
             )
         },
-        services={"assistant": Service(kind="model", version="v", kinds=kinds)},
+        services={
+            "assistant": Service(
+                kind="model", version="v", roles=("mixed",), kinds=kinds
+            )
+        },
         runners={
             name: Runner(
                 service="assistant",
