--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -24,8 +24,10 @@
 from lacewinglug.upstream.client import RunnerClient, RunnerError
 from lacewinglug.upstream.messages import GenerateRequest, KvImport
 
-_ATTEMPTS_WITHOUT_PROGRESS = 4
-_RETRY_DELAY_S = 0.2
+_ATTEMPTS_WITHOUT_PROGRESS = 6
+_RETRY_DELAY_S = 0.1
+_MAX_DOUBLINGS = 3
+_MOVE_WAIT_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -89,6 +91,10 @@
     async def _run_attempts(self) -> AsyncGenerator[AnswerBatch, None]:
         while self.attempts < _ATTEMPTS_WITHOUT_PROGRESS:
             match await self._place():
+                case Success(dispatch) if dispatch.runner in self.failed:
+                    dispatch.close(succeeded=True)
+                    await self._wait_before_retry()
+                    continue
                 case Success(dispatch):
                     pass
                 case Failure(refusal) if not self.stream.sent:
@@ -114,13 +120,27 @@
             dispatch, self.next_dispatch = self.next_dispatch, None
             return Success(dispatch)
         self.stream.advance(WaitsFor.PLACEMENT)
-        return await self.relay.dispatcher.place(
-            self.stream.profile, excluded=self.failed
+        return await self._place_beside(self.failed)
+
+    async def _place_beside(self, excluded: set[str]) -> Result[Dispatch, NotRun]:
+        """Return a runner that is not excluded.
+
+        Waits below may swallow a cancellation that comes as they end, so an
+        interruption of the stream is checked again.
+        """
+        placed = await self.relay.dispatcher.place(
+            self.stream.profile, excluded=excluded
         )
+        if self.stream.interruption is None:
+            return placed
+        if isinstance(placed, Success):
+            placed.unwrap().close(succeeded=True)
+        raise asyncio.CancelledError
 
     async def _wait_before_retry(self) -> None:
         """Wait until a runner may accept the rest; the deadline bounds the waits."""
-        await self.relay.clock.sleep(_RETRY_DELAY_S)
+        delay_s = _RETRY_DELAY_S * 2 ** min(self.attempts, _MAX_DOUBLINGS)
+        await self.relay.clock.sleep(delay_s)
         self.failed.clear()
 
     async def _relay_from(
@@ -192,9 +212,11 @@
         if not is_worth_moving(self.body.max_tokens - self.sequence.next_index):
             return False
         excluded = self.failed | {dispatch.runner}
-        placed = await self.relay.dispatcher.place(
-            self.stream.profile, excluded=excluded
-        )
+        try:
+            async with asyncio.timeout(_MOVE_WAIT_S):
+                placed = await self._place_beside(excluded)
+        except TimeoutError:
+            return False
         if not isinstance(placed, Success):
             return False
         self.next_dispatch = placed.unwrap()
