Let healthy runners be left without a mark, and declared roles stand by default

Cause: a planned move named the draining runner as failed, which kept other requests off it for 2 s, and the rest of an answer that had begun was judged by admission as a new arrival and could be refused until its deadline. Placing now tells failed runners from left ones and takes a begun answer in.

--- a/lacewinglug/entry/dispatch.py
+++ b/lacewinglug/entry/dispatch.py
@@ -123,16 +123,25 @@
     _room: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def place(
-        self, profile: RequestProfile, *, excluded: Collection[str] = ()
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[str] = (),
+        left: Collection[str] = (),
+        begun: bool = False,
     ) -> Result[Dispatch, NotRun]:
         """Choose the runner of a request, or refuse it as not run.
 
         :param profile: the request.
         :param excluded: runners that failed at this request already.
+        :param left: healthy runners that the request leaves.
+        :param begun: whether part of the answer has gone to the caller, so that
+            admission has no say any more.
         """
         policy = self.policy_of(profile.service)
         for runner in excluded:
             policy.note_failed(runner, now_s=self.clock.now_s())
+        closed = {*excluded, *left}
         while True:
             self._refresh()
             now_s = self.clock.now_s()
@@ -140,8 +149,8 @@
                 profile,
                 now_s=now_s,
                 organisation_weight=self._organisation_weight(profile.organisation),
-                excluded=excluded,
-                admitted=bool(excluded),
+                excluded=closed,
+                admitted=begun or bool(closed),
             )
             match decision:
                 case Placement():
--- a/lacewinglug/requests/prompts.py
+++ b/lacewinglug/requests/prompts.py
@@ -120,16 +120,19 @@
             dispatch, self.next_dispatch = self.next_dispatch, None
             return Success(dispatch)
         self.stream.advance(WaitsFor.PLACEMENT)
-        return await self._place_beside(self.failed)
+        return await self._place_beside()
 
-    async def _place_beside(self, excluded: set[str]) -> Result[Dispatch, NotRun]:
-        """Return a runner that is not excluded.
+    async def _place_beside(self, *left: str) -> Result[Dispatch, NotRun]:
+        """Return a runner that has not failed and is not left.
 
         Waits below may swallow a cancellation that comes as they end, so an
         interruption of the stream is checked again.
         """
         placed = await self.relay.dispatcher.place(
-            self.stream.profile, excluded=excluded
+            self.stream.profile,
+            excluded=self.failed,
+            left=left,
+            begun=self.sequence.next_index > 0,
         )
         if self.stream.interruption is None:
             return placed
@@ -211,10 +214,9 @@
         self.stream.move_wanted = False
         if not is_worth_moving(self.body.max_tokens - self.sequence.next_index):
             return False
-        excluded = self.failed | {dispatch.runner}
         try:
             async with asyncio.timeout(_MOVE_WAIT_S):
-                placed = await self._place_beside(excluded)
+                placed = await self._place_beside(dispatch.runner)
         except TimeoutError:
             return False
         if not isinstance(placed, Success):
--- a/lacewinglug/settings.py
+++ b/lacewinglug/settings.py
@@ -96,6 +96,8 @@
         before the change is put off, in seconds.
     :param order_settle_s: wait before the first order to an engine that ignores
         fencing numbers, and after one whose answer was lost, in seconds.
+    :param plan_roles: plan engine roles from load reports; otherwise each engine
+        keeps the role that the configuration declares.
     """
 
     control_port: Port
@@ -105,6 +107,7 @@
     claim_delay_s: PositiveSeconds
     drain_deadline_s: PositiveSeconds
     order_settle_s: PositiveSeconds
+    plan_roles: bool
 
 
 class CallSettings(_Section):
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -22,6 +22,7 @@
 from lacewinglug.steward.planned_roles import PlannedRoleSource
 from lacewinglug.steward.poller import RunnerPoller
 from lacewinglug.steward.replica import Replica
+from lacewinglug.steward.role_source import DeclaredRoles
 from lacewinglug.steward.server import ControlServer
 from lacewinglug.steward.tail import LogTail
 from lacewinglug.steward.upkeep import SnapshotKeeper
@@ -120,7 +121,11 @@
             metrics=metrics,
             order_session=order_session,
             rng=random.Random(incarnation),
-            roles=PlannedRoleSource(state=state, fresh_reports=poller.fresh),
+            roles=(
+                PlannedRoleSource(state=state, fresh_reports=poller.fresh)
+                if settings.steward.plan_roles
+                else DeclaredRoles()
+            ),
         )
         logger.info("steward started", extra={"port": settings.steward.control_port})
         async with asyncio.TaskGroup() as group:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -63,8 +63,9 @@
     random: random.Random
     open_dispatches: set = field(default_factory=set)
 
-    async def place(self, profile, *, excluded=()):
-        free = [name for name in self.runners if name not in excluded]
+    async def place(self, profile, *, excluded=(), left=(), begun=False):
+        closed = {*excluded, *left}
+        free = [name for name in self.runners if name not in closed]
         if not free:
             return Failure(NotRun(reason="none is free", remedy="wait"))
         dispatch = FakeDispatch(self.random.choice(free), profile, self.open_dispatches)
--- a/tests/requests/test_prompts.py
+++ b/tests/requests/test_prompts.py
@@ -76,7 +76,7 @@
     rng = random.Random(1)
     dispatcher = FakeDispatcher(["a"], rng)
     place = dispatcher.place
-    dispatcher.place = lambda profile, *, excluded=(): place(profile)
+    dispatcher.place = lambda profile, **_: place(profile)
     relay = make_relay(FakeEngines(rng, faults=("busy",), fault_share=1.0), dispatcher)
     relay.clock.on_sleep = lambda now_s: (
         now_s > 2.0 and setattr(relay.client, "fault_share", 0.0)
