--- a/lacewinglug/entry/view.py
+++ b/lacewinglug/entry/view.py
@@ -36,6 +36,11 @@
         if self.config is not None and _is_older(view, self.config):
             return False
         self.config = view
+        self.runners = {
+            name: status
+            for name, status in self.runners.items()
+            if name in view.fleet.runners
+        }
         return True
 
     def update_status(self, view: StatusView) -> None:
--- a/lacewinglug/ui/drain.py
+++ b/lacewinglug/ui/drain.py
@@ -58,7 +58,7 @@
         if target in state.withdrawn:
             raise UserError(
                 f"{target!r} is withdrawn; lacewinglug replace takes its name "
-                "back into service on a new machine"
+                "back into service, on the same machine or a new one"
             )
         return DrainChanged(
             record_id=_make_record_id(),
@@ -91,7 +91,8 @@
     """
 
     def make_record(state: ControlState) -> AnyRecord:
-        if state.machines.get(target) == machine:
+        is_withdrawn = target in state.withdrawn
+        if state.machines.get(target) == machine and not is_withdrawn:
             raise UserError(
                 f"{target!r} is on machine {machine!r} already; to end a drain, "
                 "run lacewinglug drain --undo"
