--- a/lacewinglug/config/loading.py
+++ b/lacewinglug/config/loading.py
@@ -75,35 +75,50 @@
         )
         return False
     for kind, objects in tables.items():
-        if not isinstance(objects, dict):
-            problems.append(
-                Problem(
-                    file=file,
-                    object_name=kind,
-                    field="",
-                    message="a value stands outside a named object",
-                    remedy=f"write it under a table such as [{kind}.name]",
-                )
-            )
-            continue
-        for name, body in objects.items():
-            key = (kind, name)
-            if key in sources:
-                problems.append(
-                    Problem(
-                        file=file,
-                        object_name=f"{kind}.{name}",
-                        field="",
-                        message=f"already declared in {sources[key]}",
-                        remedy="remove or rename one of the two",
-                    )
-                )
-                continue
-            sources[key] = file
-            merged.setdefault(kind, {})[name] = body
+        if isinstance(objects, dict):
+            for name, body in objects.items():
+                _add_object((kind, name), body, file, merged, sources, problems)
+        else:
+            problems.append(_stray_value(kind, file))
     return True
 
 
+def _stray_value(kind: str, file: str) -> Problem:
+    """Describe a value that belongs to no object."""
+    return Problem(
+        file=file,
+        object_name=kind,
+        field="",
+        message="a value stands outside a named object",
+        remedy=f"write it under a table such as [{kind}.name]",
+    )
+
+
+def _add_object(
+    key: ObjectKey,
+    body: Any,
+    file: str,
+    merged: dict[str, dict[str, Any]],
+    sources: dict[ObjectKey, str],
+    problems: list[Problem],
+) -> None:
+    """Merge one object, noting one that stands twice."""
+    kind, name = key
+    if key in sources:
+        problems.append(
+            Problem(
+                file=file,
+                object_name=f"{kind}.{name}",
+                field="",
+                message=f"already declared in {sources[key]}",
+                remedy="remove or rename one of the two",
+            )
+        )
+        return
+    sources[key] = file
+    merged.setdefault(kind, {})[name] = body
+
+
 def _validate(
     merged: dict[str, dict[str, Any]],
     sources: dict[ObjectKey, str],
