--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.figures import format_figures, write_results
 
-SUITES = ("memory", "control", "orders", "calls", "relay", "policy")
+SUITES = ("memory", "control", "orders", "calls", "relay", "policy", "processes")
 
 
 def main(names: list[str]) -> int:
--- a/lacewinglug/load/plan.py
+++ b/lacewinglug/load/plan.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Self
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from lacewinglug.errors import Problem, UserError
 
@@ -85,6 +85,16 @@
     crests: tuple[Crest, ...] = ()
     shifts: tuple[MixShift, ...] = ()
 
+    @model_validator(mode="after")
+    def _check_shares(self) -> Self:
+        """Refuse shares of kinds that the plan does not have."""
+        known = {item.kind for item in self.kinds}
+        for shift in self.shifts:
+            unknown = sorted(set(shift.shares) - known)
+            if unknown:
+                raise ValueError(f"shifts name kinds that are not in kinds: {unknown}")
+        return self
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
--- a/lacewinglug/ui/load.py
+++ b/lacewinglug/ui/load.py
@@ -23,13 +23,26 @@
 @entry_option
 @click.option("--seed", default=1, show_default=True, help="Seed of the arrivals.")
 @click.option("--remote", is_flag=True, help="Allow hosts other than loopback.")
+@click.option(
+    "--caller-key",
+    envvar="LACEWINGLUG_CALLER_KEY",
+    default="",
+    help="Key of the plan's organisation (or LACEWINGLUG_CALLER_KEY).",
+)
 @json_option
-def load(plan_path: Path, entry: str, seed: int, remote: bool, as_json: bool) -> None:
+def load(
+    plan_path: Path,
+    entry: str,
+    seed: int,
+    remote: bool,
+    caller_key: str,
+    as_json: bool,
+) -> None:
     """Send the open-loop load of the TOML file PLAN_PATH and print a summary."""
     plan = read_plan(plan_path)
     if not remote and not _is_loopback(entry):
         raise UserError(f"{entry} is not a loopback address; add --remote to load it")
-    summary = run_async(_run(plan, entry, seed))
+    summary = run_async(_run(plan, entry, seed, caller_key))
     if as_json:
         echo_json(summary)
         return
@@ -44,7 +57,7 @@
         return False
 
 
-async def _run(plan: LoadPlan, entry: str, seed: int) -> LoadSummary:
+async def _run(plan: LoadPlan, entry: str, seed: int, caller_key: str) -> LoadSummary:
     clock = SystemClock()
     connector = make_connector()
     async with aiohttp.ClientSession(connector=connector) as session:
@@ -53,6 +66,7 @@
             entry_url=entry,
             organisation=plan.organisation,
             region=plan.region,
+            key=caller_key,
         )
         try:
             await caller.fetch_addresses()
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -41,3 +41,10 @@
     path.write_text("duration_s = 1.0\nrate_per_s = -1.0\nkinds = []\n")
     with pytest.raises(UserError, match="load.rate_per_s"):
         read_plan(path)
+
+
+def test_shift_to_an_unknown_kind_is_refused(tmp_path):
+    path = tmp_path / "load.toml"
+    path.write_text(EXAMPLE.read_text().replace("note = 4.0", "notes = 4.0"))
+    with pytest.raises(UserError, match="'notes'"):
+        read_plan(path)
