--- a/tests/roles/test_planner.py
+++ b/tests/roles/test_planner.py
@@ -1,3 +1,5 @@
+"""Tests of the role planner."""
+
 import pytest
 
 from lacewinglug.roles.demand import DemandTracker
--- a/tests/roles/test_source.py
+++ b/tests/roles/test_source.py
@@ -1,3 +1,5 @@
+"""Tests of roles planned from load reports."""
+
 from pathlib import Path
 
 import pytest
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -1,3 +1,5 @@
+"""Tests of the parts of the routing policy."""
+
 from collections import Counter
 
 import pytest
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -1,3 +1,5 @@
+"""Tests of the routing policy as a whole."""
+
 from collections import Counter
 
 import pytest
