Refuse truthfully until a load report is known

Cause: a merge kept the check for a configuration and left the one for load reports unused, so an entry that had just started refused prompts as having no runner.

--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -150,9 +150,10 @@
                 remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
                 retry_after_s=0.0,
             )
-        if self.intake.view.revision == 0:
+        missing = self._find_missing()
+        if missing:
             return NotRun(
-                reason="the entry host has no configuration yet",
+                reason=f"the entry host has no {missing} yet",
                 remedy="send it again after the retry time, or to another entry host",
             )
         if (
@@ -175,12 +176,14 @@
             )
         return self._check_organisation(organisation)
 
-    def _is_ready(self) -> bool:
-        """Return whether the steward told the configuration and the runners' load."""
+    def _find_missing(self) -> str:
+        """Return what the steward has not told yet, empty when it told all."""
         view = self.intake.view
-        if view.config is None:
-            return False
-        return bool(view.runners) or not view.fleet.runners
+        if view.revision == 0:
+            return "configuration"
+        if view.fleet.runners and not view.runners:
+            return "load report of a runner"
+        return ""
 
     def _check_organisation(self, organisation: str) -> NotRun | None:
         """Return a refusal where an organisation has too much in progress."""
--- a/tests/entry/test_gate.py
+++ b/tests/entry/test_gate.py
@@ -130,3 +130,17 @@
         growth_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - peak_kb
         assert growth_kb < 4096
         assert not entry.app.prompts.watch.streams
+
+
+async def test_entry_without_a_load_report_refuses_as_not_run():
+    async with local_entry() as entry:
+        known = dict(entry.app.view.runners)
+        entry.app.view.runners.clear()
+        async with entry.prompt() as response:
+            body = await response.json()
+        assert (response.status, body["outcome"]) == (503, "not_run")
+        assert "load report" in body["reason"]
+        assert not any(engine.prompts for engine in entry.engines.values())
+        entry.app.view.runners.update(known)
+        async with entry.prompt() as response:
+            assert response.status == 200
