Keep one retry budget and one log in memory

The routing and the calls each had a retry budget of the same logic, and the tests of the fold a second log in memory beside the stand-in's.

--- a/lacewinglug/requests/calls.py
+++ b/lacewinglug/requests/calls.py
@@ -15,7 +15,7 @@
     OutcomeUnknown,
     RequestFailure,
 )
-from lacewinglug.requests.retries import RetryBudget
+from lacewinglug.retries import RetryBudget
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.upstream.client import (
     CallTransport,
@@ -25,6 +25,7 @@
 from lacewinglug.upstream.messages import CallReply
 
 _MAX_ATTEMPTS = 3
+_RETRIES_PER_REQUEST = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +65,11 @@
         )
 
 
+def make_retry_budget() -> RetryBudget:
+    """Return the budget of retries of idempotent calls."""
+    return RetryBudget(ratio=_RETRIES_PER_REQUEST)
+
+
 @dataclass(kw_only=True)
 class CallRunner:
     """Sends calls to runners.
@@ -79,7 +85,7 @@
     client: CallTransport
     clock: Clock
     metrics: Metrics
-    budget: RetryBudget = field(default_factory=RetryBudget)
+    budget: RetryBudget = field(default_factory=make_retry_budget)
 
     async def run_once(self, call: Call) -> CallResult:
         """Send a call that may not be repeated to one runner, once.
@@ -135,7 +141,7 @@
         """Take a retry from the budget when there is time for it."""
         if self.clock.now_s() >= call.profile.deadline_s:
             return False
-        if not self.budget.take():
+        if not self.budget.try_spend():
             self.metrics.count("calls.retries_over_budget")
             return False
         self.metrics.count("calls.retries")
--- a/lacewinglug/routing/policy.py
+++ b/lacewinglug/routing/policy.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
+from lacewinglug.retries import RetryBudget
 from lacewinglug.routing.candidates import CandidateSet, rank_runners
 from lacewinglug.routing.choice import (
     Placement,
@@ -22,7 +23,6 @@
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.routing.record import RunnerRecord
 from lacewinglug.routing.rules import PolicySettings, Refusal, RunnerFacts, Wait
-from lacewinglug.routing.slowness import RetryBudget
 from lacewinglug.upstream.messages import LoadReport
 
 AVOID_S = 2.0
--- a/lacewinglug/routing/slowness.py
+++ b/lacewinglug/routing/slowness.py
@@ -7,7 +7,6 @@
 _SAMPLE_WEIGHT = 0.6
 _FORGET_S = 8.0
 _MAX_RATIO = 20.0
-_STALLED_INTERVALS = 8.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -36,33 +35,3 @@
     def _faded(self, now_s: float) -> float:
         age_s = now_s - self.observed_s
         return 1.0 + (self.ratio - 1.0) * math.exp(-age_s / _FORGET_S)
-
-
-def is_stalled(*, silent_s: float, expected_s: float) -> bool:
-    """Return whether a stream has been silent for too many token intervals."""
-    return silent_s > _STALLED_INTERVALS * expected_s
-
-
-@dataclass(kw_only=True, slots=True)
-class RetryBudget:
-    """Owns the tokens that bound hedges and retries to a share of requests.
-
-    :param ratio: tokens earned by each first attempt.
-    :param capacity: most tokens kept.
-    :param tokens: tokens left.
-    """
-
-    ratio: float = 0.05
-    capacity: float = 10.0
-    tokens: float = 10.0
-
-    def note_request(self) -> None:
-        """Earn a share of a token for a first attempt."""
-        self.tokens = min(self.capacity, self.tokens + self.ratio)
-
-    def try_spend(self) -> bool:
-        """Spend a token; return whether there was one."""
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
--- a/tests/requests/test_calls.py
+++ b/tests/requests/test_calls.py
@@ -6,9 +6,8 @@
 from harness.call_fleet import FakeDispatch
 from harness.virtual_time import VirtualClock, run_virtual
 from lacewinglug.metrics import Metrics
-from lacewinglug.requests.calls import Call, CallRunner
+from lacewinglug.requests.calls import Call, CallRunner, make_retry_budget
 from lacewinglug.requests.outcomes import FailedWhileRunning, NotRun, OutcomeUnknown
-from lacewinglug.requests.retries import RetryBudget
 from lacewinglug.routing.profile import RequestProfile
 from lacewinglug.upstream.client import RunnerError
 from lacewinglug.upstream.messages import CallReply
@@ -45,7 +44,7 @@
             client=transport,
             clock=clock,
             metrics=Metrics(),
-            budget=budget or RetryBudget(),
+            budget=budget or make_retry_budget(),
         )
         profile = RequestProfile(
             request_id="r",
--- a/tests/routing/test_parts.py
+++ b/tests/routing/test_parts.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lacewinglug.retries import RetryBudget
 from lacewinglug.routing.admission import AdmissionControl, Offer
 from lacewinglug.routing.candidates import CandidateSet
 from lacewinglug.routing.choice import TransferCost, choose_placement
@@ -13,7 +14,6 @@
 from lacewinglug.routing.ledger import RunnerLedger
 from lacewinglug.routing.migration import StreamPrognosis, is_worth_moving
 from lacewinglug.routing.prefix import PrefixHints, hash_pieces
-from lacewinglug.routing.slowness import RetryBudget
 from tests.routing.helpers import make_profile, make_report, make_state
 
 
--- a/tests/steward/test_burn_fold.py
+++ b/tests/steward/test_burn_fold.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from harness.manual_clock import ManualClock
 from lacewinglug.metrics import Metrics
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.reading import BurnReader
@@ -15,8 +16,8 @@
     WindowKey,
     encode_burn_record,
 )
+from lacewinglug.standin.memory_log import MemoryLog
 from lacewinglug.steward.burn_fold import KEPT_HOURS, BurnFolder
-from tests.report.fakes import MemoryLog, WallClock
 
 HOUR = 500_000
 
@@ -31,7 +32,7 @@
         key = WindowKey(host=host, incarnation="a", index=hour * 60 + minute)
         tally = ObjectiveTally(objective="unlock", total=10, good=9)
         window = BurnWindow(key=key, tallies=(tally,))
-        log.streams.setdefault(BURN_STREAM, []).append(encode_burn_record(window))
+        log.stream(BURN_STREAM).append(encode_burn_record(window))
 
 
 def make_folder(log, clock):
@@ -48,15 +49,15 @@
 async def test_fold_replaces_windows_that_expire(log):
     append_minutes(log, HOUR)
     append_minutes(log, HOUR, host="entry-2")
-    clock = WallClock(wall_time_s=(HOUR + 1) * FOLD_S + WINDOW_S)
+    clock = ManualClock(time_s=(HOUR + 1) * FOLD_S + WINDOW_S)
     reader = BurnReader(log=log, ledger=BurnLedger())
     folder = make_folder(log, clock)
     reader.ledger = folder._ledger
     await folder.fold_once(reader)
     await folder.fold_once(reader)
-    assert len(log.streams[FOLD_STREAM]) == 1
+    assert log.stream(FOLD_STREAM).next_offset == 1
     assert (await read_totals(log))[0] == 1200
-    log.expire(BURN_STREAM, 120)
+    log.stream(BURN_STREAM).trim(120)
     total, reader = await read_totals(log)
     assert total == 1200
     assert reader.expired
@@ -64,7 +65,7 @@
 
 async def test_two_folders_count_nothing_twice(log):
     append_minutes(log, HOUR)
-    clock = WallClock(wall_time_s=(HOUR + 1) * FOLD_S)
+    clock = ManualClock(time_s=(HOUR + 1) * FOLD_S)
     for _ in range(2):
         folder = make_folder(log, clock)
         await folder.fold_once(BurnReader(log=log, ledger=folder._ledger))
@@ -74,8 +75,8 @@
 async def test_folder_keeps_late_hours_only(log):
     for hour in range(HOUR, HOUR + 6):
         append_minutes(log, hour, count=2)
-    clock = WallClock(wall_time_s=(HOUR + 6) * FOLD_S)
+    clock = ManualClock(time_s=(HOUR + 6) * FOLD_S)
     folder = make_folder(log, clock)
     await folder.fold_once(BurnReader(log=log, ledger=folder._ledger))
-    assert len(log.streams[FOLD_STREAM]) == KEPT_HOURS
+    assert log.stream(FOLD_STREAM).next_offset == KEPT_HOURS
     assert (await read_totals(log))[0] == 120
