--- a/lacewinglug/upstream/client.py
+++ b/lacewinglug/upstream/client.py
@@ -1,6 +1,6 @@
 """HTTP client of runners."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Collection
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
@@ -72,6 +72,33 @@
         ...
 
 
+async def fetch_body(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    *,
+    timeout_s: float,
+    data: bytes | None = None,
+    statuses: Collection[int] = (HTTPStatus.OK,),
+) -> bytes:
+    """Return the body of a runner's answer.
+
+    :param statuses: statuses of a whole answer.
+    :raises RunnerError: the runner did not answer so.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.request(method, url, data=data, timeout=timeout) as response:
+            body = await response.read()
+    except aiohttp.ClientConnectorError as error:
+        raise RunnerError(f"cannot connect: {error}", sent=False) from None
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise RunnerError(f"no answer: {error!r}", sent=True) from None
+    if response.status not in statuses:
+        raise RunnerError(f"answered status {response.status}", sent=True)
+    return body
+
+
 @dataclass(kw_only=True)
 class RunnerClient:
     """Talks to engines and plain services over HTTP.
@@ -86,30 +113,11 @@
 
     async def fetch_load(self, url: str) -> LoadReport:
         """Return the load report of a runner."""
-        timeout = aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
-        body = await self._fetch("GET", f"{url}/load", None, timeout)
+        body = await fetch_body(
+            self.session, "GET", f"{url}/load", timeout_s=_POLL_TIMEOUT_S
+        )
         return msgspec.json.decode(body, type=LoadReport)
 
-    async def _fetch(
-        self,
-        method: str,
-        url: str,
-        data: bytes | None,
-        timeout: aiohttp.ClientTimeout,
-    ) -> bytes:
-        try:
-            async with self.session.request(
-                method, url, data=data, timeout=timeout
-            ) as response:
-                body = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            raise RunnerError(f"cannot connect: {error}", sent=False) from None
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise RunnerError(f"no answer: {error!r}", sent=True) from None
-        if response.status not in (200, 409):
-            raise RunnerError(f"answered status {response.status}", sent=True)
-        return body
-
     async def call(
         self,
         url: str,
@@ -160,9 +168,13 @@
         self, url: str, message: KvImport, *, timeout_s: float
     ) -> KvImportReply:
         """Let an engine fetch a KV cache from another engine."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        data = msgspec.json.encode(message)
-        body = await self._fetch("POST", f"{url}/kv", data, timeout)
+        body = await fetch_body(
+            self.session,
+            "POST",
+            f"{url}/kv",
+            data=msgspec.json.encode(message),
+            timeout_s=timeout_s,
+        )
         try:
             return msgspec.json.decode(body, type=KvImportReply)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
--- a/lacewinglug/upstream/orders.py
+++ b/lacewinglug/upstream/orders.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from lacewinglug.upstream.client import RunnerError
+from lacewinglug.upstream.client import RunnerError, fetch_body
 from lacewinglug.upstream.messages import EngineOrder, EngineState, OrderReply
 
 READ_TIMEOUT_S = 2.0
@@ -83,19 +83,14 @@
     async def _request(
         self, method: str, url: str, data: bytes | None, timeout_s: float
     ) -> bytes:
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        try:
-            async with self.session.request(
-                method, url, data=data, timeout=timeout
-            ) as response:
-                body = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            raise RunnerError(f"cannot connect: {error}", sent=False) from None
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise RunnerError(f"no answer: {error!r}", sent=True) from None
-        if response.status not in (_ACCEPTED, _REFUSED):
-            raise RunnerError(f"answered status {response.status}", sent=True)
-        return body
+        return await fetch_body(
+            self.session,
+            method,
+            url,
+            data=data,
+            timeout_s=timeout_s,
+            statuses=(_ACCEPTED, _REFUSED),
+        )
 
 
 def _decode(body: bytes, kind: type[Any]) -> Any:
