Ask for a load report before prompts only

Cause: the refusal of an entry without load reports, added for prompts, met keys and keyed calls too: a copy of a call that had run was told not run, and keys were not minted after a restart.

--- a/lacewinglug/entry/gate.py
+++ b/lacewinglug/entry/gate.py
@@ -150,10 +150,9 @@
                 remedy=f"send it to {' or '.join(self.addresses) or 'another host'}",
                 retry_after_s=0.0,
             )
-        missing = self._find_missing()
-        if missing:
+        if self.intake.view.revision == 0:
             return NotRun(
-                reason=f"the entry host has no {missing} yet",
+                reason="the entry host has no configuration yet",
                 remedy="send it again after the retry time, or to another entry host",
             )
         if (
@@ -176,15 +175,6 @@
             )
         return self._check_organisation(organisation)
 
-    def _find_missing(self) -> str:
-        """Return what the steward has not told yet, empty when it told all."""
-        view = self.intake.view
-        if view.revision == 0:
-            return "configuration"
-        if view.fleet.runners and not view.runners:
-            return "load report of a runner"
-        return ""
-
     def _check_organisation(self, organisation: str) -> NotRun | None:
         """Return a refusal where an organisation has too much in progress."""
         item = self.intake.view.fleet.organisations.get(organisation)
--- a/lacewinglug/entry/intake.py
+++ b/lacewinglug/entry/intake.py
@@ -84,6 +84,10 @@
             return None
         return service.kinds.get(kind_name)
 
+    def knows_load(self) -> bool:
+        """Return whether the steward has told the load of any runner."""
+        return bool(self.view.runners) or not self.view.fleet.runners
+
     def default_kind(self, service_name: str) -> str:
         """Return the name of a service's first kind of request."""
         service = self.view.fleet.services.get(service_name)
--- a/lacewinglug/entry/prompts.py
+++ b/lacewinglug/entry/prompts.py
@@ -11,7 +11,12 @@
 
 from lacewinglug.entry.connection import CONNECTION_KEY, CallerConnection
 from lacewinglug.entry.intake import REQUEST_ID_HEADER, Intake
-from lacewinglug.entry.responses import bad_request, failure_response, unknown_kind
+from lacewinglug.entry.responses import (
+    bad_request,
+    failure_response,
+    no_load_report,
+    unknown_kind,
+)
 from lacewinglug.report.recorder import ANSWERED
 from lacewinglug.requests.answers import (
     AnswerBatch,
@@ -60,6 +65,8 @@
         kind = self.intake.find_kind(service, "model", kind_name)
         if kind is None:
             return failure_response(unknown_kind(service))
+        if not self.intake.knows_load():
+            return failure_response(no_load_report())
         profile = self.intake.make_profile(
             request,
             kind,
--- a/lacewinglug/entry/responses.py
+++ b/lacewinglug/entry/responses.py
@@ -78,3 +78,11 @@
         remedy="ask the service for the state before calling again",
     )
     return failure_response(failure)
+
+
+def no_load_report() -> NotRun:
+    """Return the refusal of a prompt while no runner's load is known."""
+    return NotRun(
+        reason="the entry host has no load report of a runner yet",
+        remedy="send it again after the retry time, or to another entry host",
+    )
