--- a/bench/calls.py
+++ b/bench/calls.py
@@ -11,7 +11,7 @@
 from harness.call_fleet import CallFleet, FaultRates
 from harness.call_judge import Callers, CallerStory, find_violations
 from harness.virtual_time import run_virtual
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.requests.intents import Intent, IntentBatch, ShardIndex, encode_batch
 from lacewinglug.requests.ledger import CallLedger
 from lacewinglug.upstream.messages import CallReply
--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -11,7 +11,7 @@
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Fleet, Organisation
 from lacewinglug.control import RunnerStatus, StatusView, encode_message
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.windows import (
     BurnWindow,
--- a/harness/order_fakes.py
+++ b/harness/order_fakes.py
@@ -17,8 +17,8 @@
     Version,
 )
 from lacewinglug.errors import AppendOutcomeUnknownError, LogUnavailableError
-from lacewinglug.platform.log import ReadReply, StoredRecord
-from lacewinglug.platform.weights import WeightsUnavailableError
+from lacewinglug.backing.log import ReadReply, StoredRecord
+from lacewinglug.backing.weights import WeightsUnavailableError
 from lacewinglug.standin.engine_control import EngineControl
 from lacewinglug.upstream.client import RunnerError
 from lacewinglug.upstream.messages import EngineOrder, EngineState, OrderReply
--- a/lacewinglug/authority/reading.py
+++ b/lacewinglug/authority/reading.py
@@ -9,12 +9,12 @@
     find_snapshot,
     replay_record,
 )
+from lacewinglug.backing.log import CONTROL_STREAM, LogClient, ReadReply, StoredRecord
 from lacewinglug.errors import (
     LogRewoundError,
     RecordsExpiredError,
     SnapshotMissingError,
 )
-from lacewinglug.platform.log import CONTROL_STREAM, LogClient, ReadReply, StoredRecord
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lacewinglug/authority/replay.py
+++ b/lacewinglug/authority/replay.py
@@ -23,9 +23,9 @@
     decode_record,
 )
 from lacewinglug.authority.state import NO_TENURE, ControlState, Publication, Tenure
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.config.changes import apply_change, digest_fleet
 from lacewinglug.config.objects import Fleet
-from lacewinglug.platform.log import StoredRecord
 
 __all__ = [
     "MEMORY_RECORDS",
--- /dev/null
+++ b/lacewinglug/backing/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the backing services: log, host list and weight store."""
--- a/lacewinglug/charts/__init__.py
+++ b/lacewinglug/charts/__init__.py
@@ -13,7 +13,7 @@
 
 from transitions import Machine, MachineError
 
-CHART_NAMES = ("tenure", "engine_change", "host")
+CHART_NAMES = ("tenure", "engine_change", "host", "request")
 ANY_STATE = "*"
 
 
--- a/lacewinglug/config/publishing.py
+++ b/lacewinglug/config/publishing.py
@@ -10,6 +10,7 @@
     encode_record,
 )
 from lacewinglug.authority.state import ControlState, Publication
+from lacewinglug.backing.log import CONTROL_STREAM, LogClient
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Fleet
 from lacewinglug.errors import (
@@ -17,7 +18,6 @@
     LogUnavailableError,
     UserError,
 )
-from lacewinglug.platform.log import CONTROL_STREAM, LogClient
 
 __all__ = ["PublishResult", "append_record", "publish_fleet", "read_state"]
 
--- a/lacewinglug/connections.py
+++ b/lacewinglug/connections.py
@@ -4,35 +4,9 @@
 
 import aiohttp
 
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_TIMEOUT_S = 10
-POOL_IDLE_S = 2.0
-MS_PER_S = 1000
-
-
-def bound_silence(
-    connection: socket.socket, *, unacknowledged_s: int = UNACKNOWLEDGED_TIMEOUT_S
-) -> None:
-    """Let the kernel drop a connection whose far end no longer acknowledges.
+from lacewinglug.wire.sockets import bound_silence
 
-    :param connection: a TCP socket.
-    :param unacknowledged_s: longest time that sent bytes may wait, in seconds.
-    """
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            unacknowledged_s * MS_PER_S,
-        ),
-    )
-    for level, name, value in options:
-        connection.setsockopt(level, name, value)
+POOL_IDLE_S = 2.0
 
 
 def make_connector(*, limit: int = 0, reuse: bool = True) -> aiohttp.TCPConnector:
--- a/lacewinglug/control.py
+++ b/lacewinglug/control.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from lacewinglug.authority.state import ControlState, Tenure
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.config.objects import Fleet
-from lacewinglug.platform.log import StoredRecord
 from lacewinglug.upstream.messages import LoadReport
 
 
--- a/lacewinglug/entry/burn.py
+++ b/lacewinglug/entry/burn.py
@@ -4,10 +4,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import AppendOutcomeUnknownError, LogUnavailableError
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import LogClient
 from lacewinglug.report.recorder import OutcomeRecorder
 from lacewinglug.report.windows import (
     BURN_STREAM,
--- a/lacewinglug/entry/call_wiring.py
+++ b/lacewinglug/entry/call_wiring.py
@@ -7,13 +7,13 @@
 
 import aiohttp
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.entry.calls import CallHandler
 from lacewinglug.entry.dispatch import Dispatcher
 from lacewinglug.entry.intake import Intake
 from lacewinglug.entry.peers import HttpPeerClient, ViewDirectory
 from lacewinglug.errors import PlatformError
 from lacewinglug.ids import IdFactory
-from lacewinglug.platform.log import LogClient
 from lacewinglug.requests.calls import CallRunner
 from lacewinglug.requests.intent_claims import IntentClaims
 from lacewinglug.requests.keyed_calls import KeyedCalls
--- a/lacewinglug/entry/process.py
+++ b/lacewinglug/entry/process.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from lacewinglug.backing.log import HttpLogClient
 from lacewinglug.clock import Clock
 from lacewinglug.connections import make_connector
 from lacewinglug.control import EntryHello
@@ -22,7 +23,6 @@
 from lacewinglug.entry.view import EntryView
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.report.recorder import OutcomeRecorder
 from lacewinglug.requests.prompts import PromptRelay
 from lacewinglug.requests.streams import StreamBounds, StreamWatch
--- /dev/null
+++ b/lacewinglug/host/engines.py
@@ -0,0 +1,132 @@
+"""A host's account of the engines of model services."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from lacewinglug.host.backlog import ReadingBacklog
+from lacewinglug.host.model import EngineProfile, RunnerEntry, Stage
+from lacewinglug.host.residency import ChainedPart, Residency
+
+PREFILL_TOKENS_S = 112_000.0
+"""Rate of reading on engines of stage prefill, in tokens a second; from the
+users' sheet of their engines."""
+DECODE_TOKENS_S = 45_000.0
+"""Rate of reading on engines of stage decode: half of the above, less the steps
+of running streams between its short chunks."""
+PAIR_S = 0.218e-9
+"""Time for each pair of a new and an earlier token, in s; from the site files."""
+FIRST_TOKEN_S = 0.031
+"""Time from the end of reading to the first token, in s; from the site files."""
+PACE_SAMPLE_WEIGHT = 0.15
+"""Weight of a new sample in the pace of an engine."""
+LONGEST_PACE = 4.0
+"""Bound of the believed slowness of an engine."""
+SHORTEST_PACE = 0.8
+"""Bound of the believed speed of an engine."""
+_SHORT_SAMPLE_S = 0.02
+
+
+@dataclass(kw_only=True, slots=True)
+class EngineAccount:
+    """What a host believes of one engine.
+
+    :param entry: the engine, as it registered itself.
+    :param residency: parts that it keeps.
+    :param backlog: prompts that it has to read.
+    :param pace: time that work takes there, 1.0 as computed.
+    """
+
+    entry: RunnerEntry
+    residency: Residency
+    backlog: ReadingBacklog = field(default_factory=ReadingBacklog)
+    pace: float = 1.0
+
+    def reading_s(self, *, new_tokens: int, cached_tokens: int) -> float:
+        """Return the time to read a part of a prompt, in s.
+
+        :param new_tokens: tokens to read.
+        :param cached_tokens: tokens before them that are at hand.
+        """
+        prefill = self.entry.stage is Stage.PREFILL
+        rate = PREFILL_TOKENS_S if prefill else DECODE_TOKENS_S
+        pairs = new_tokens * (cached_tokens + new_tokens / 2)
+        pairs_s = pairs * PAIR_S * (1.0 if prefill else 2.0)
+        return (new_tokens / rate + pairs_s) * self.pace
+
+    def note_first_token(self, *, expected_s: float, actual_s: float) -> None:
+        """Take the time to a first token as a sample of the pace."""
+        if expected_s < _SHORT_SAMPLE_S:
+            return
+        sample = min(max(actual_s / expected_s, 0.5), LONGEST_PACE)
+        pace = self.pace * (1.0 + PACE_SAMPLE_WEIGHT * (sample - 1.0))
+        self.pace = min(max(pace, SHORTEST_PACE), LONGEST_PACE)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineWork:
+    """Work that a host gave to an engine, as it tells the other hosts.
+
+    :param instance: the engine.
+    :param priority: rank of the work.
+    :param work_s: time that the engine takes to read it, in s.
+    :param parts: parts of the prompt that the engine keeps afterwards.
+    """
+
+    instance: str
+    priority: int
+    work_s: float
+    parts: tuple[ChainedPart, ...]
+
+
+@dataclass(kw_only=True)
+class EngineBook:
+    """Owns the accounts of the engines of all services."""
+
+    _accounts: dict[str, EngineAccount] = field(default_factory=dict)
+    _born: dict[str, int] = field(default_factory=dict)
+
+    def accounts(
+        self, entries: Iterable[RunnerEntry], profile: EngineProfile
+    ) -> list[EngineAccount]:
+        """Return the accounts of engines, new ones included."""
+        return [self._account(entry, profile) for entry in entries]
+
+    def get(self, instance: str) -> EngineAccount | None:
+        """Return the account of an engine by its instance."""
+        return self._accounts.get(instance)
+
+    def note_work(self, work: EngineWork, *, now_s: float) -> None:
+        """Take work that this or another host gave to an engine."""
+        account = self._accounts.get(work.instance)
+        if account is None:
+            return
+        account.backlog.add(work.priority, work.work_s, now_s=now_s)
+        account.residency.add(work.parts)
+
+    def forget_gone(self, kept: Iterable[str]) -> None:
+        """Drop the accounts of engines that have left."""
+        names = set(kept)
+        for instance in [item for item in self._accounts if item not in names]:
+            del self._accounts[instance]
+
+    def _account(self, entry: RunnerEntry, profile: EngineProfile) -> EngineAccount:
+        account = self._accounts.get(entry.instance)
+        if account is None or account.entry.born_ms != entry.born_ms:
+            residency = Residency(capacity_tokens=profile.capacity_tokens)
+            account = EngineAccount(entry=entry, residency=residency)
+            self._accounts[entry.instance] = account
+        account.entry = entry
+        return account
+
+
+def find_holder(
+    accounts: Sequence[EngineAccount], parts: Sequence[ChainedPart]
+) -> tuple[EngineAccount | None, int]:
+    """Return the engine that keeps the most of a prompt, and how many tokens."""
+    best: EngineAccount | None = None
+    most = 0
+    for account in accounts:
+        tokens = account.residency.matched_tokens(parts)
+        if tokens > most:
+            best, most = account, tokens
+    return best, most
--- /dev/null
+++ b/lacewinglug/host/peers.py
@@ -0,0 +1,242 @@
+"""Datagrams between hosts: beats, and the work that each gives to engines."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lacewinglug.host.distance import Distance, Geography
+from lacewinglug.host.engines import EngineWork
+from lacewinglug.host.hosts import HostIdentity, HostTable
+from lacewinglug.host.residency import ChainedPart
+
+logger = logging.getLogger(__name__)
+
+BEAT_S = 0.5
+"""Time between beats to hosts of the same region, in s."""
+FAR_BEAT_EVERY = 2
+"""Beats to hosts of the same region for one to those of other regions."""
+SHORTEST_BATCH_S = 0.03
+"""Time that work is collected before it is told to others, in s; shorter than
+the reading of a usual prompt."""
+BATCH_S_PER_PEER = 0.003
+"""Longer collecting for each other host, in s, so that the datagrams of one host
+stay a few hundred a second however many hosts there are."""
+MOST_WORK_A_DATAGRAM = 20
+"""Most entries in a datagram, which stays below one packet of the network."""
+_TOLD_PEERS = 40
+
+
+class _WorkMessage(msgspec.Struct, array_like=True):
+    instance: str
+    priority: int
+    work_ms: int
+    parts: list[tuple[int, int]]
+
+
+class _IdentityMessage(msgspec.Struct, array_like=True):
+    name: str
+    incarnation: int
+    ip: str
+    peer_port: int
+    zone: str
+    client_address: str
+
+
+class _Datagram(msgspec.Struct, array_like=True):
+    work: list[_WorkMessage] = []
+    sender: _IdentityMessage | None = None
+    ready: bool = False
+    leaving: bool = False
+    others: list[_IdentityMessage] = []
+
+
+_decoder = msgspec.msgpack.Decoder(_Datagram)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_identity(identity: HostIdentity) -> bytes:
+    """Return a host's identity as it stands in the store."""
+    return _encoder.encode(_to_message(identity))
+
+
+def decode_identity(data: bytes) -> HostIdentity | None:
+    """Read a host's identity, None where it cannot be read."""
+    try:
+        return _to_identity(msgspec.msgpack.decode(data, type=_IdentityMessage))
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclass(kw_only=True)
+class PeerLink(asyncio.DatagramProtocol):
+    """Owns the socket between hosts.
+
+    :param table: hosts; beats are noted there.
+    :param geography: regions of the availability zones.
+    :param on_work: called with the work that another host gave to an engine.
+    :param own_state: returns whether this host is ready, and whether it leaves.
+    """
+
+    table: HostTable
+    geography: Geography
+    on_work: Callable[[EngineWork], None]
+    own_state: Callable[[], tuple[bool, bool]]
+    _transport: asyncio.DatagramTransport | None = None
+    _pending: list[EngineWork] = field(default_factory=list)
+    _beats: int = 0
+
+    async def open(self) -> None:
+        """Bind the socket.
+
+        :raises OSError: the port is taken.
+        """
+        own = self.table.own
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(own.ip, own.peer_port)
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the bound socket."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram was refused; its host is silent or gone."""
+        logger.debug("datagram refused: %s", exc)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def tell_work(self, work: EngineWork) -> None:
+        """Collect work for the next datagram to all hosts."""
+        self._pending.append(work)
+
+    async def send_batches(self) -> None:
+        """Tell the others the collected work, until cancelled."""
+        while True:
+            peers = len(self.table.peers)
+            await asyncio.sleep(max(SHORTEST_BATCH_S, BATCH_S_PER_PEER * peers))
+            while self._pending:
+                batch = self._pending[:MOST_WORK_A_DATAGRAM]
+                del self._pending[:MOST_WORK_A_DATAGRAM]
+                data = _encoder.encode(_Datagram(work=[_work(item) for item in batch]))
+                self._send_all(data, self.table.peers)
+
+    async def send_beats(self) -> None:
+        """Tell the others that this host lives, until cancelled."""
+        while True:
+            self.beat()
+            self.table.forget_silent(now_s=asyncio.get_running_loop().time())
+            await asyncio.sleep(BEAT_S)
+
+    def beat(self, *, urgent: bool = False) -> None:
+        """Send one beat.
+
+        :param urgent: send it to other regions too, out of turn.
+        """
+        self._beats += 1
+        far = urgent or self._beats % FAR_BEAT_EVERY == 0
+        own = self.table.own
+        peers = [
+            peer
+            for peer in self.table.peers
+            if far
+            or self.geography.distance(own.zone, peer.zone) < Distance.OTHER_REGION
+        ]
+        self._send_all(self._encode_beat(), peers)
+
+    def greet(self, ip: str) -> None:
+        """Send a beat to an address at which a host may listen."""
+        if self._transport is not None and ip != self.table.own.ip:
+            self._transport.sendto(self._encode_beat(), (ip, self.table.own.peer_port))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram of another host."""
+        try:
+            message = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            logger.warning("datagram of %s cannot be read: %s", addr[0], error)
+            return
+        for item in message.work:
+            self.on_work(_to_work(item))
+        for other in message.others:
+            if self.table.learn(_to_identity(other)):
+                self.greet(other.ip)
+        if message.sender is not None:
+            self._take_beat(message, message.sender)
+
+    def _take_beat(self, message: _Datagram, sender: _IdentityMessage) -> None:
+        now_s = asyncio.get_running_loop().time()
+        identity = _to_identity(sender)
+        new = self.table.note_beat(
+            identity, ready=message.ready, leaving=message.leaving, now_s=now_s
+        )
+        if new and self._transport is not None:
+            others = [_to_message(peer) for peer in self.table.peers[:_TOLD_PEERS]]
+            data = self._encode_beat(others)
+            self._transport.sendto(data, (identity.ip, identity.peer_port))
+
+    def _encode_beat(self, others: Iterable[_IdentityMessage] = ()) -> bytes:
+        ready, leaving = self.own_state()
+        return _encoder.encode(
+            _Datagram(
+                sender=_to_message(self.table.own),
+                ready=ready,
+                leaving=leaving,
+                others=list(others),
+            )
+        )
+
+    def _send_all(self, data: bytes, peers: Iterable[HostIdentity]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        for peer in peers:
+            self._transport.sendto(data, (peer.ip, peer.peer_port))
+
+
+def _work(work: EngineWork) -> _WorkMessage:
+    return _WorkMessage(
+        instance=work.instance,
+        priority=work.priority,
+        work_ms=round(work.work_s * 1000),
+        parts=[(part.key, part.tokens) for part in work.parts],
+    )
+
+
+def _to_work(message: _WorkMessage) -> EngineWork:
+    return EngineWork(
+        instance=message.instance,
+        priority=min(max(message.priority, 0), 9),
+        work_s=message.work_ms / 1000,
+        parts=tuple(
+            ChainedPart(key=key, tokens=tokens) for key, tokens in message.parts
+        ),
+    )
+
+
+def _to_message(identity: HostIdentity) -> _IdentityMessage:
+    return _IdentityMessage(
+        name=identity.name,
+        incarnation=identity.incarnation,
+        ip=identity.ip,
+        peer_port=identity.peer_port,
+        zone=identity.zone,
+        client_address=identity.client_address,
+    )
+
+
+def _to_identity(message: _IdentityMessage) -> HostIdentity:
+    return HostIdentity(
+        name=message.name,
+        incarnation=message.incarnation,
+        ip=message.ip,
+        peer_port=message.peer_port,
+        zone=message.zone,
+        client_address=message.client_address,
+    )
--- /dev/null
+++ b/lacewinglug/host/prompts.py
@@ -0,0 +1,257 @@
+"""Places a prompt on engines: where it is read, and where its stream runs."""
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
+
+from lacewinglug.host.distance import (
+    ROUND_TRIP_S,
+    TRANSFER_FACTOR,
+    Distance,
+    Geography,
+)
+from lacewinglug.host.engines import (
+    FIRST_TOKEN_S,
+    EngineAccount,
+    find_holder,
+)
+from lacewinglug.host.model import EngineProfile, Stage
+from lacewinglug.host.residency import ChainedPart
+
+TRANSFER_SETUP_S = 0.005
+"""Time before a transfer between engines begins, in s; from the site files."""
+REREAD_COST_S = 0.04e-3
+"""Cost of each token that is read although an engine keeps it, in s; what the
+reading takes from other prompts at a decode engine, and its price."""
+REGION_COST_S = 0.08
+"""Cost of sending a prompt to an engine in another region, in s."""
+DECODE_SEAT_COST_S = 0.002
+"""Cost of each stream that runs at an engine already, in s."""
+_GIGA = 1e9
+TRANSFER_COST_S_GB = 0.15
+"""Cost of moving a gigabyte of KV cache between engines of a zone, in s."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectPlan:
+    """One engine reads the prompt and runs the stream.
+
+    :param runner: the engine.
+    :param fetch_from: engine whose cached parts it fetches first, None for none.
+    :param expected_s: time to the first token.
+    :param work_s: time that the engine reads.
+    :param cost_s: expected time with the costs of others.
+    """
+
+    runner: EngineAccount
+    fetch_from: EngineAccount | None
+    expected_s: float
+    work_s: float
+    cost_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SplitPlan:
+    """One engine reads the prompt, another fetches its KV cache and streams.
+
+    :param reader: engine that reads.
+    :param runner: engine that streams.
+    :param fetch_from: engine whose cached parts the reader fetches first.
+    :param expected_s: time to the first token.
+    :param work_s: time that the reader reads.
+    :param cost_s: expected time with the costs of others.
+    """
+
+    reader: EngineAccount
+    runner: EngineAccount
+    fetch_from: EngineAccount | None
+    expected_s: float
+    work_s: float
+    cost_s: float
+
+
+PromptPlan = DirectPlan | SplitPlan
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptJob:
+    """A prompt to place.
+
+    :param parts: its parts, chained.
+    :param tokens: its length.
+    :param priority: its rank, 0 first.
+    """
+
+    parts: tuple[ChainedPart, ...]
+    tokens: int
+    priority: int
+
+
+@dataclass(kw_only=True)
+class PromptPlanner:
+    """Chooses the plan with the least cost among the engines of a service.
+
+    :param profile: constants of the engines.
+    :param geography: regions of the availability zones.
+    :param zone: availability zone of this host.
+    """
+
+    profile: EngineProfile
+    geography: Geography
+    zone: str
+    can_fetch: bool = True
+    _accounts: Sequence[EngineAccount] = field(default_factory=tuple)
+
+    def plan(
+        self,
+        job: PromptJob,
+        accounts: Sequence[EngineAccount],
+        *,
+        now_s: float,
+        avoided: Collection[str] = (),
+        seats: dict[str, int] | None = None,
+        allow_split: bool = True,
+    ) -> PromptPlan | None:
+        """Return the best plan, None where no engine can stream.
+
+        :param accounts: engines that take new work.
+        :param avoided: engines to use only where there is no other.
+        :param seats: streams that run at each engine.
+        :param allow_split: whether the prompt may be read at another engine.
+        """
+        holder, held = find_holder(accounts, job.parts)
+        held = min(held, job.tokens - 1)
+        runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
+        readers = _preferred(accounts, avoided, stages=(Stage.PREFILL,))
+        taken = seats or {}
+        plans: list[PromptPlan] = []
+        for runner in runners:
+            seat_s = DECODE_SEAT_COST_S * taken.get(runner.entry.instance, 0)
+            plans.append(self._direct(job, runner, holder, held, seat_s, now_s))
+            if allow_split:
+                plans.extend(
+                    self._split(job, reader, runner, holder, held, seat_s, now_s)
+                    for reader in readers
+                )
+        return min(plans, key=lambda plan: plan.cost_s, default=None)
+
+    def _direct(
+        self,
+        job: PromptJob,
+        runner: EngineAccount,
+        holder: EngineAccount | None,
+        held: int,
+        seat_s: float,
+        now_s: float,
+    ) -> DirectPlan:
+        reading = self._reading(job, runner, holder, held)
+        away = self._away(runner)
+        wait_s = runner.backlog.wait_s(job.priority, now_s=now_s)
+        expected_s = (
+            ROUND_TRIP_S[away] + wait_s + reading.time_s + FIRST_TOKEN_S * runner.pace
+        )
+        cost_s = expected_s + reading.cost_s + _region_cost_s(away) + seat_s
+        return DirectPlan(
+            runner=runner,
+            fetch_from=reading.fetch_from,
+            expected_s=expected_s,
+            work_s=reading.work_s,
+            cost_s=cost_s,
+        )
+
+    def _split(
+        self,
+        job: PromptJob,
+        reader: EngineAccount,
+        runner: EngineAccount,
+        holder: EngineAccount | None,
+        held: int,
+        seat_s: float,
+        now_s: float,
+    ) -> SplitPlan:
+        reading = self._reading(job, reader, holder, held)
+        kept = runner.residency.matched_tokens(job.parts)
+        move_s, move_cost_s = self._transfer(reader, runner, job.tokens - kept)
+        reader_away, runner_away = self._away(reader), self._away(runner)
+        expected_s = (
+            ROUND_TRIP_S[reader_away]
+            + reader.backlog.wait_s(job.priority, now_s=now_s)
+            + reading.time_s
+            + ROUND_TRIP_S[runner_away]
+            + move_s
+            + FIRST_TOKEN_S * runner.pace
+        )
+        cost_s = expected_s + reading.cost_s + move_cost_s + seat_s
+        cost_s += _region_cost_s(reader_away) + _region_cost_s(runner_away)
+        return SplitPlan(
+            reader=reader,
+            runner=runner,
+            fetch_from=reading.fetch_from,
+            expected_s=expected_s,
+            work_s=reading.work_s,
+            cost_s=cost_s,
+        )
+
+    def _reading(
+        self,
+        job: PromptJob,
+        engine: EngineAccount,
+        holder: EngineAccount | None,
+        held: int,
+    ) -> "_Reading":
+        """Return how an engine reads a prompt: with or without a fetch."""
+        own = min(engine.residency.matched_tokens(job.parts), job.tokens - 1)
+        work_s = engine.reading_s(new_tokens=job.tokens - own, cached_tokens=own)
+        alone = _Reading(
+            work_s=work_s, time_s=work_s, cost_s=REREAD_COST_S * max(0, held - own)
+        )
+        if not self.can_fetch or holder is None or holder is engine or held <= own:
+            return alone
+        move_s, move_cost_s = self._transfer(holder, engine, held - own)
+        work_s = engine.reading_s(new_tokens=job.tokens - held, cached_tokens=held)
+        fetched = _Reading(
+            work_s=work_s,
+            time_s=work_s + move_s,
+            cost_s=move_cost_s,
+            fetch_from=holder,
+        )
+        return min(alone, fetched, key=lambda item: item.time_s + item.cost_s)
+
+    def _transfer(
+        self, source: EngineAccount, target: EngineAccount, tokens: int
+    ) -> tuple[float, float]:
+        """Return the time and the cost of moving a KV cache, in s."""
+        distance = self.geography.distance(source.entry.zone, target.entry.zone)
+        size = tokens * self.profile.token_bytes
+        time_s = size / self.profile.link_bytes_s * TRANSFER_FACTOR[distance]
+        factor = 1.0 + distance
+        return (
+            TRANSFER_SETUP_S + time_s,
+            TRANSFER_COST_S_GB * factor * size / _GIGA,
+        )
+
+    def _away(self, account: EngineAccount) -> Distance:
+        return self.geography.distance(self.zone, account.entry.zone)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Reading:
+    work_s: float
+    time_s: float
+    cost_s: float
+    fetch_from: EngineAccount | None = None
+
+
+def _region_cost_s(distance: Distance) -> float:
+    return REGION_COST_S if distance is Distance.OTHER_REGION else 0.0
+
+
+def _preferred(
+    accounts: Sequence[EngineAccount],
+    avoided: Collection[str],
+    *,
+    stages: tuple[Stage, ...],
+) -> list[EngineAccount]:
+    """Return the engines of some stages, avoided ones only as a last resort."""
+    fitting = [item for item in accounts if item.entry.stage in stages]
+    free = [item for item in fitting if item.entry.instance not in avoided]
+    return free or fitting
--- a/lacewinglug/platform/__init__.py
+++ b/lacewinglug/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the services that the platform gives."""
+"""The adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/lacewinglug/platform/records.py
@@ -0,0 +1,192 @@
+"""Records that the operator and the runners write to the platform's store."""
+
+import logging
+
+import msgspec
+
+from lacewinglug.host.model import (
+    Configuration,
+    EngineProfile,
+    Repeat,
+    RequestLimits,
+    Route,
+    RunnerEntry,
+    Service,
+    Share,
+    Stage,
+)
+
+logger = logging.getLogger(__name__)
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+RUNNERS_TOPIC = "keyed.servers"
+_MS_PER_S = 1000
+_BITS_PER_BYTE = 8
+_BITS_PER_MBIT = 1_000_000
+_REPEATS = {
+    "safe": Repeat.SAFE,
+    "unsafe": Repeat.UNSAFE,
+    "streaming": Repeat.STREAM,
+}
+_STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
+_STATES = {"ready": False, "draining": True}
+
+
+class RecordError(Exception):
+    """A record that cannot be read; the message says why."""
+
+
+class _Share(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    service: str = ""
+    traffic_split: list[_Share] = []
+    target_latency_ms: float = 0
+    target_gap_ms: float | None = None
+    priority: int = 5
+    max_attempts: int = 1
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: int = 0
+    link_mbps: float = 1
+    handle_ttl_s: float = 0
+    switch_s: float = 0
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+
+
+class _Runner(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    stage: str = ""
+    cold_remaining_ms: float = 0
+    # Unix time of the start, in ms; the one field in lower case.
+    born: int = msgspec.field(default=0, name="born")
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Read a version of the operator's configuration.
+
+    :raises RecordError: it is not a configuration.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Configuration)
+        routes = tuple(_decode_route(item) for item in raw.routes)
+    except (msgspec.DecodeError, KeyError) as error:
+        raise RecordError(f"configuration cannot be read: {error}") from None
+    return Configuration(
+        version=raw.version,
+        routes=routes,
+        services={item.name: _decode_service(item) for item in raw.services},
+        limits=_decode_limits(raw.limits),
+    )
+
+
+def decode_runner(instance: str, data: bytes) -> RunnerEntry:
+    """Read the entry of a runner.
+
+    :param instance: key under which it stands.
+    :raises RecordError: a field is missing, of another type or not known.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Runner)
+        draining = _STATES[raw.state]
+    except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
+        raise RecordError(f"entry of runner {instance}: {error}") from None
+    host, _, port = raw.address.rpartition(":")
+    if not host or not port.isdigit() or raw.slots < 1:
+        raise RecordError(f"entry of runner {instance}: bad address or slots")
+    return RunnerEntry(
+        instance=instance,
+        service=raw.service,
+        address=raw.address,
+        zone=raw.zone,
+        slots=raw.slots,
+        draining=draining,
+        stage=_STAGES.get(raw.stage, Stage.NONE),
+        cold_s=raw.cold_remaining_ms / _MS_PER_S,
+        born_ms=raw.born,
+    )
+
+
+def _decode_route(raw: _Route) -> Route:
+    shares = tuple(
+        Share(service=item.service, weight=item.weight) for item in raw.traffic_split
+    )
+    gap_ms = raw.target_gap_ms
+    return Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.path_prefix,
+        repeat=_REPEATS[raw.kind],
+        timeout_s=raw.timeout_ms / _MS_PER_S,
+        target_latency_s=(raw.target_latency_ms or raw.timeout_ms) / _MS_PER_S,
+        target_gap_s=None if gap_ms is None else gap_ms / _MS_PER_S,
+        priority=raw.priority,
+        shares=shares or (Share(service=raw.service, weight=1.0),),
+        max_attempts=raw.max_attempts,
+        resumable=raw.resumable,
+    )
+
+
+def _decode_service(raw: _Service) -> Service:
+    engine = raw.engine
+    return Service(
+        name=raw.name,
+        max_connections=raw.max_connections,
+        engine=None
+        if engine is None
+        else EngineProfile(
+            slots=engine.slots,
+            capacity_tokens=engine.kv_capacity_tokens,
+            token_bytes=engine.kv_token_bytes,
+            link_bytes_s=engine.link_mbps * _BITS_PER_MBIT / _BITS_PER_BYTE,
+            handle_ttl_s=engine.handle_ttl_s,
+            switch_s=engine.switch_s,
+        ),
+    )
+
+
+def _decode_limits(raw: _Limits | None) -> RequestLimits | None:
+    if raw is None:
+        return None
+    return RequestLimits(
+        header_bytes=raw.max_header_bytes,
+        body_bytes=raw.max_body_bytes,
+        header_timeout_s=raw.header_timeout_ms / _MS_PER_S,
+        idle_timeout_s=raw.idle_timeout_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/lacewinglug/platform/settings.py
@@ -0,0 +1,108 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from lacewinglug.errors import UserError
+from lacewinglug.host.model import HostSettings
+
+SETTINGS_PATH_VARIABLE = "LACEWINGLUG_NODE_FILE"
+DEFAULT_SETTINGS_PATH = Path("/etc/lacewinglug/local.json")
+_MS_PER_S = 1000
+
+
+class _Addresses(msgspec.Struct, rename="pascal"):
+    frontend: str
+    ready: str
+    directory: str
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    drain_ms: float = 2500
+    grace_s: float = 8
+    lease_ms: float = 3000
+    retry_budget_ratio: float = 0.2
+    retry_budget_slack: float = 0
+    budget_window_s: float = 10
+    # The one name of this table that the platform writes in lower case.
+    ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_fds: int = 4100
+
+
+class _Store(msgspec.Struct, rename="pascal"):
+    address: str
+
+
+class _Settings(msgspec.Struct, rename="pascal"):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    listen_addrs: _Addresses
+    internal_ports: tuple[int, int]
+    platform: _Store
+    zones: dict[str, str] = {}
+    # Control addresses of other hosts; only their IP part is used.
+    seeds: list[str] = []
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def find_settings_path(environment: Mapping[str, str] = os.environ) -> Path:
+    """Return the path of the settings file of this process."""
+    return Path(environment.get(SETTINGS_PATH_VARIABLE) or DEFAULT_SETTINGS_PATH)
+
+
+def load_settings(path: Path) -> HostSettings:
+    """Read and check the settings file.
+
+    :raises UserError: it cannot be read, or a field is missing or wrong.
+    """
+    try:
+        return decode_settings(path.read_bytes())
+    except OSError as error:
+        raise UserError(
+            f"settings file {path} cannot be read ({error.strerror}); set "
+            f"{SETTINGS_PATH_VARIABLE} to the path of a readable file"
+        ) from None
+    except UserError as error:
+        raise UserError(f"settings file {path}: {error}") from None
+
+
+def decode_settings(data: bytes) -> HostSettings:
+    """Read settings; fields that are not known are ignored.
+
+    :raises UserError: a field is missing or wrong; the message names it.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Settings)
+    except msgspec.DecodeError as error:
+        raise UserError(f"{error}; correct that field") from None
+    bounds = raw.bounds
+    return HostSettings(
+        name=raw.node_name,
+        ip=raw.ip,
+        zone=raw.zone,
+        region=raw.region,
+        regions=raw.zones,
+        client_address=raw.listen_addrs.frontend,
+        ready_address=raw.listen_addrs.ready,
+        directory_address=raw.listen_addrs.directory,
+        peer_port=raw.internal_ports[0],
+        store_address=raw.platform.address,
+        seeds=tuple(raw.seeds),
+        drain_s=bounds.drain_ms / _MS_PER_S,
+        grace_s=bounds.grace_s,
+        lease_s=bounds.lease_ms / _MS_PER_S,
+        directory_ttl_s=bounds.ttl_max_s,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_budget_slack,
+        retry_window_s=bounds.budget_window_s,
+        max_descriptors=raw.limits.max_fds,
+    )
--- a/lacewinglug/report/reading.py
+++ b/lacewinglug/report/reading.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.errors import RecordsExpiredError
-from lacewinglug.platform.log import LogClient
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.windows import (
     BURN_STREAM,
--- a/lacewinglug/requests/intent_claims.py
+++ b/lacewinglug/requests/intent_claims.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import (
     AppendOutcomeUnknownError,
@@ -13,7 +14,6 @@
 )
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import LogClient
 from lacewinglug.requests.intents import (
     HeldKey,
     Intent,
--- a/lacewinglug/requests/intents.py
+++ b/lacewinglug/requests/intents.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 
 SHARD_COUNT = 32
 
--- a/lacewinglug/requests/outcome_archive.py
+++ b/lacewinglug/requests/outcome_archive.py
@@ -10,11 +10,11 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import PlatformError, RecordsExpiredError
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import LogClient
 from lacewinglug.requests.ledger import CallResult, FinishedCall
 from lacewinglug.requests.outcomes import (
     FailureBody,
--- a/lacewinglug/standin/engine.py
+++ b/lacewinglug/standin/engine.py
@@ -12,7 +12,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from lacewinglug.platform.weights import WeightStoreClient
+from lacewinglug.backing.weights import WeightStoreClient
 from lacewinglug.requests.outcomes import FailureBody
 from lacewinglug.standin.engine_control import ControlFaults, EngineControl
 from lacewinglug.standin.faults import Faults, FaultSwitch, json_response
--- a/lacewinglug/standin/engine_control.py
+++ b/lacewinglug/standin/engine_control.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from lacewinglug.backing.weights import WeightStoreClient, WeightsUnavailableError
 from lacewinglug.clock import Clock, SystemClock
-from lacewinglug.platform.weights import WeightStoreClient, WeightsUnavailableError
 from lacewinglug.upstream.messages import (
     EngineOrder,
     EngineState,
--- a/lacewinglug/standin/memory_log.py
+++ b/lacewinglug/standin/memory_log.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass, field
 
+from lacewinglug.backing.log import ReadReply
 from lacewinglug.errors import (
     AppendOutcomeUnknownError,
     LogUnavailableError,
     RecordsExpiredError,
 )
-from lacewinglug.platform.log import ReadReply
 from lacewinglug.standin.platform import LogStream
 
 
--- a/lacewinglug/standin/platform.py
+++ b/lacewinglug/standin/platform.py
@@ -10,8 +10,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from lacewinglug.platform.hosts import HostList, HostState
-from lacewinglug.platform.log import (
+from lacewinglug.backing.hosts import HostList, HostState
+from lacewinglug.backing.log import (
     AppendReply,
     ExpiredReply,
     ReadReply,
--- a/lacewinglug/standin/weights.py
+++ b/lacewinglug/standin/weights.py
@@ -9,7 +9,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from lacewinglug.platform.weights import HttpWeightStoreClient
+from lacewinglug.backing.weights import HttpWeightStoreClient
 from lacewinglug.standin.faults import json_response
 
 
--- a/lacewinglug/steward/burn_fold.py
+++ b/lacewinglug/steward/burn_fold.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import LogUnavailableError
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import LogClient
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.reading import BurnReader
 from lacewinglug.report.windows import FOLD_S, FOLD_STREAM, encode_burn_record
--- a/lacewinglug/steward/engine_change.py
+++ b/lacewinglug/steward/engine_change.py
@@ -16,11 +16,11 @@
     RenewTenure,
     next_step,
 )
+from lacewinglug.backing.weights import WeightStoreClient, WeightsUnavailableError
 from lacewinglug.charts import load_chart
 from lacewinglug.clock import Clock
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.weights import WeightStoreClient, WeightsUnavailableError
 from lacewinglug.steward.backoff import Backoff
 from lacewinglug.steward.tenures import TenureKeeper
 from lacewinglug.upstream.client import RunnerError
--- a/lacewinglug/steward/hosts.py
+++ b/lacewinglug/steward/hosts.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from lacewinglug.backing.hosts import HostListClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import PlatformError
 from lacewinglug.membership.neighbours import rank_hosts
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.hosts import HostListClient
 
 WATCH_INTERVAL_S = 1.0
 WATCHER_COUNT = 3
--- a/lacewinglug/steward/known_hosts.py
+++ b/lacewinglug/steward/known_hosts.py
@@ -7,10 +7,10 @@
 
 from lacewinglug.authority.state import ControlState
 from lacewinglug.authority.tenures import HostKnowledge
+from lacewinglug.backing.hosts import HostListClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import PlatformError
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.hosts import HostListClient
 
 LIST_INTERVAL_S = 5.0
 LIST_LIFETIME_S = 30.0
--- a/lacewinglug/steward/order_setup.py
+++ b/lacewinglug/steward/order_setup.py
@@ -7,11 +7,11 @@
 
 from lacewinglug.authority.state import ControlState
 from lacewinglug.authority.tenures import Claimant, HostKnowledge
+from lacewinglug.backing.log import LogClient
+from lacewinglug.backing.weights import HttpWeightStoreClient
 from lacewinglug.clock import Clock
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import LogClient
-from lacewinglug.platform.weights import HttpWeightStoreClient
 from lacewinglug.settings import Settings
 from lacewinglug.steward.backoff import Backoff
 from lacewinglug.steward.engine_change import ChangeDriver, OrderTimings
--- a/lacewinglug/steward/peers.py
+++ b/lacewinglug/steward/peers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.control import (
     PeerHeartbeat,
     PeerMessage,
@@ -23,7 +24,6 @@
 )
 from lacewinglug.membership.neighbours import MonitorPlan
 from lacewinglug.membership.table import HostTable
-from lacewinglug.platform.log import StoredRecord
 from lacewinglug.steward.replica import RecordBatch, Replica
 
 Purpose = Literal["probe", "reply", "change"]
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -8,12 +8,12 @@
 import aiohttp
 
 from lacewinglug.authority.state import ControlState
+from lacewinglug.backing.hosts import HttpHostListClient
+from lacewinglug.backing.log import HttpLogClient
 from lacewinglug.clock import Clock
 from lacewinglug.connections import make_connector
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.hosts import HttpHostListClient
-from lacewinglug.platform.log import HttpLogClient
 from lacewinglug.settings import Settings
 from lacewinglug.steward.burn_fold import BurnFolder
 from lacewinglug.steward.hosts import HostListWatcher
--- a/lacewinglug/steward/replica.py
+++ b/lacewinglug/steward/replica.py
@@ -6,7 +6,7 @@
 
 from lacewinglug.authority.replay import adopt_state, digest_record, replay_record
 from lacewinglug.authority.state import ControlState
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 
 RECENT_RECORDS = 256
 RECENT_BYTES = 512 * 1024
--- a/lacewinglug/steward/server.py
+++ b/lacewinglug/steward/server.py
@@ -9,6 +9,7 @@
 import zmq
 import zmq.asyncio
 
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.clock import Clock
 from lacewinglug.control import (
     ConfigView,
@@ -28,7 +29,6 @@
 from lacewinglug.errors import UserError
 from lacewinglug.membership.lives import HostLives
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import StoredRecord
 from lacewinglug.steward.peers import (
     HEARTBEAT_INTERVAL_S,
     PeerAction,
--- a/lacewinglug/steward/tail.py
+++ b/lacewinglug/steward/tail.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from lacewinglug.authority.reading import check_log, restore_state
+from lacewinglug.backing.log import CONTROL_STREAM, LogClient, ReadReply, StoredRecord
 from lacewinglug.clock import Clock
 from lacewinglug.errors import (
     LogRewoundError,
@@ -12,7 +13,6 @@
     RecordsExpiredError,
 )
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import CONTROL_STREAM, LogClient, ReadReply, StoredRecord
 from lacewinglug.steward.replica import Replica
 
 RETRY_INTERVAL_S = 0.5
--- a/lacewinglug/steward/tenures.py
+++ b/lacewinglug/steward/tenures.py
@@ -25,12 +25,12 @@
     decide_tenure,
     rank_hosts,
 )
+from lacewinglug.backing.log import CONTROL_STREAM, LogClient
 from lacewinglug.charts import load_chart
 from lacewinglug.clock import Clock
 from lacewinglug.errors import PlatformError
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import CONTROL_STREAM, LogClient
 from lacewinglug.steward.backoff import Backoff
 
 HOST_LIST_OPERATOR = "host-list"
--- a/lacewinglug/steward/upkeep.py
+++ b/lacewinglug/steward/upkeep.py
@@ -6,12 +6,12 @@
 
 from lacewinglug.authority.records import SnapshotTaken, TenureClaimed, encode_record
 from lacewinglug.authority.state import NO_TENURE, ControlState
+from lacewinglug.backing.log import CONTROL_STREAM, LogClient
 from lacewinglug.clock import Clock
 from lacewinglug.errors import LogUnavailableError
 from lacewinglug.ids import IdFactory
 from lacewinglug.membership.neighbours import rank_hosts
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import CONTROL_STREAM, LogClient
 
 UPKEEP_DOMAIN = "upkeep"
 SNAPSHOT_RECORDS = 2048
--- a/lacewinglug/ui/__init__.py
+++ b/lacewinglug/ui/__init__.py
@@ -18,6 +18,7 @@
     "withdraw": "drain",
     "load": "load",
     "report": "report",
+    "host": "host",
     "completion": "completion",
 }
 
--- a/lacewinglug/ui/common.py
+++ b/lacewinglug/ui/common.py
@@ -11,10 +11,10 @@
 import click
 import msgspec
 
+from lacewinglug.backing.log import HttpLogClient, LogClient
 from lacewinglug.config.loading import load_config
 from lacewinglug.config.objects import Fleet
 from lacewinglug.errors import UserError
-from lacewinglug.platform.log import HttpLogClient, LogClient
 
 ResultT = TypeVar("ResultT")
 
--- a/lacewinglug/ui/drain.py
+++ b/lacewinglug/ui/drain.py
@@ -11,11 +11,11 @@
     HostWithdrawn,
 )
 from lacewinglug.authority.state import ControlState
+from lacewinglug.backing.log import LogClient
 from lacewinglug.config.objects import Fleet
 from lacewinglug.config.publishing import append_record, read_state
 from lacewinglug.errors import UserError
 from lacewinglug.ids import IdFactory, make_incarnation
-from lacewinglug.platform.log import LogClient
 from lacewinglug.ui.common import log_option, operator_option, run_with_log
 
 target_argument = click.argument("target")
--- a/lacewinglug/ui/programs.py
+++ b/lacewinglug/ui/programs.py
@@ -85,7 +85,14 @@
 
 
 def call_on_stop_signal(callback: Callable[[], object]) -> None:
-    """Call back in the running loop on each SIGTERM or SIGINT.
+    """Call back in the running loop on each SIGTERM or SIGINT."""
+    call_on_signals(callback, (signal.SIGTERM, signal.SIGINT))
+
+
+def call_on_signals(
+    callback: Callable[[], object], numbers: tuple[signal.Signals, ...]
+) -> None:
+    """Call back in the running loop on each of some signals.
 
     Unlike the loop's own handlers, this one stays when the loop closes, so that
     a repeated signal does not kill a process that is about to exit.
@@ -96,5 +103,5 @@
         if not loop.is_closed():
             loop.call_soon_threadsafe(callback)
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in numbers:
         signal.signal(number, handle_signal)
--- a/lacewinglug/ui/publish.py
+++ b/lacewinglug/ui/publish.py
@@ -6,12 +6,12 @@
 import click
 
 from lacewinglug.authority.state import Publication
+from lacewinglug.backing.log import LogClient
 from lacewinglug.config.changes import FleetChange, diff_fleets
 from lacewinglug.config.objects import Fleet
 from lacewinglug.config.publishing import PublishResult, publish_fleet, read_state
 from lacewinglug.errors import UserError
 from lacewinglug.ids import IdFactory, make_incarnation
-from lacewinglug.platform.log import LogClient
 from lacewinglug.ui.common import (
     echo_json,
     json_option,
--- a/lacewinglug/ui/report.py
+++ b/lacewinglug/ui/report.py
@@ -5,9 +5,9 @@
 
 import click
 
+from lacewinglug.backing.log import LogClient
 from lacewinglug.config.publishing import read_state
 from lacewinglug.errors import UserError
-from lacewinglug.platform.log import LogClient
 from lacewinglug.report.burn import BurnReport, make_report
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.page import format_report, make_page
--- a/lacewinglug/ui/standin.py
+++ b/lacewinglug/ui/standin.py
@@ -4,7 +4,7 @@
 import uvicorn
 from starlette.applications import Starlette
 
-from lacewinglug.platform.weights import WeightStoreClient
+from lacewinglug.backing.weights import WeightStoreClient
 from lacewinglug.standin.engine import EngineStandin
 from lacewinglug.standin.platform import PlatformStandin
 from lacewinglug.standin.service import ServiceStandin
--- a/tests/authority/test_replay.py
+++ b/tests/authority/test_replay.py
@@ -13,7 +13,7 @@
     decode_record,
 )
 from lacewinglug.authority.state import ControlState
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 from tests.authority.writers import Writers, check_stream, copy_state, replay_all
 
 HOSTS = st.sampled_from(["a", "b", "c"])
--- a/tests/authority/writers.py
+++ b/tests/authority/writers.py
@@ -20,7 +20,7 @@
 from lacewinglug.authority.state import NO_TENURE, ControlState
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Region
-from lacewinglug.platform.log import StoredRecord
+from lacewinglug.backing.log import StoredRecord
 
 
 def copy_state(state):
--- a/tests/platform/test_silence.py
+++ b/tests/backing/test_silence.py
@@ -5,14 +5,14 @@
 
 from lacewinglug.connections import make_connector
 from lacewinglug.errors import LogUnavailableError
-from lacewinglug.platform.log import HttpLogClient
+from lacewinglug.backing.log import HttpLogClient
 from lacewinglug.standin.platform import PlatformStandin
 from lacewinglug.standin.relay import TcpRelay
 from tests.entry.local import free_port, serve_standin
 
 
 async def test_silent_connection_is_replaced_by_a_fresh_one(monkeypatch):
-    monkeypatch.setattr("lacewinglug.platform.log._TIMEOUT_MARGIN_S", 0.2)
+    monkeypatch.setattr("lacewinglug.backing.log._TIMEOUT_MARGIN_S", 0.2)
     async with (
         serve_standin(PlatformStandin().app()) as port,
         aiohttp.ClientSession(connector=make_connector()) as session,
--- a/tests/platform/test_weights.py
+++ b/tests/backing/test_weights.py
@@ -8,7 +8,7 @@
 import uvicorn
 from starlette.applications import Starlette
 
-from lacewinglug.platform.weights import HttpWeightStoreClient, WeightsUnavailableError
+from lacewinglug.backing.weights import HttpWeightStoreClient, WeightsUnavailableError
 from lacewinglug.standin.weights import WeightLimits, WeightStoreStandin
 
 
--- a/tests/steward/test_log_processes.py
+++ b/tests/steward/test_log_processes.py
@@ -11,7 +11,7 @@
 from lacewinglug.authority.state import ControlState
 from lacewinglug.clock import SystemClock
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.log import CONTROL_STREAM, HttpLogClient
+from lacewinglug.backing.log import CONTROL_STREAM, HttpLogClient
 from lacewinglug.standin.relay import PathState, TcpRelay
 from lacewinglug.steward.replica import Replica
 from lacewinglug.steward.tail import LogTail
--- a/tests/steward/test_order_processes.py
+++ b/tests/steward/test_order_processes.py
@@ -15,7 +15,7 @@
 from harness.journals import find_order_violations
 from lacewinglug.authority.replay import replay_record
 from lacewinglug.authority.state import ControlState
-from lacewinglug.platform.log import ReadReply
+from lacewinglug.backing.log import ReadReply
 from lacewinglug.standin.engine_control import OrderEvent
 from lacewinglug.standin.relay import PathState, TcpRelay
 from lacewinglug.upstream.messages import EngineState
--- a/tests/steward/test_upkeep.py
+++ b/tests/steward/test_upkeep.py
@@ -10,8 +10,8 @@
 from lacewinglug.ids import IdFactory
 from lacewinglug.membership.neighbours import rank_hosts
 from lacewinglug.metrics import Metrics
-from lacewinglug.platform.hosts import HostList
-from lacewinglug.platform.log import CONTROL_STREAM
+from lacewinglug.backing.hosts import HostList
+from lacewinglug.backing.log import CONTROL_STREAM
 from lacewinglug.standin.memory_log import MemoryLog
 from lacewinglug.steward.hosts import WATCHER_COUNT, HostListWatcher
 from lacewinglug.steward.upkeep import UPKEEP_DOMAIN, SnapshotKeeper
