--- a/lacewinglug/ui/entry.py
+++ b/lacewinglug/ui/entry.py
@@ -10,11 +10,11 @@
 from lacewinglug.metrics import Metrics
 from lacewinglug.settings import Settings
 from lacewinglug.ui.programs import (
-    call_on_stop_signal,
     run_program,
     set_option,
     settings_option,
 )
+from lacewinglug.ui.signals import call_on_stop_signal
 
 
 @click.command(epilog="Example: lacewinglug-entry --settings entry-1.toml")
--- a/lacewinglug/ui/host.py
+++ b/lacewinglug/ui/host.py
@@ -12,7 +12,7 @@
 from lacewinglug.ids import make_incarnation
 from lacewinglug.logging import ProcessIdentity
 from lacewinglug.platform.settings import find_settings_path, load_settings
-from lacewinglug.ui.programs import call_on_signals
+from lacewinglug.ui.signals import call_on_signals
 
 logger = logging.getLogger(__name__)
 
--- a/lacewinglug/ui/programs.py
+++ b/lacewinglug/ui/programs.py
@@ -3,11 +3,9 @@
 import asyncio
 import contextlib
 import os
-import signal
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from types import FrameType
 from typing import Any
 
 import click
@@ -17,6 +15,7 @@
 from lacewinglug.logging import ProcessIdentity, configure_logging
 from lacewinglug.metrics import Metrics, make_metrics
 from lacewinglug.settings import Settings
+from lacewinglug.ui.signals import call_on_stop_signal
 
 settings_option = click.option(
     "--settings",
@@ -82,26 +81,3 @@
     call_on_stop_signal(task.cancel)
     with contextlib.suppress(asyncio.CancelledError):
         await task
-
-
-def call_on_stop_signal(callback: Callable[[], object]) -> None:
-    """Call back in the running loop on each SIGTERM or SIGINT."""
-    call_on_signals(callback, (signal.SIGTERM, signal.SIGINT))
-
-
-def call_on_signals(
-    callback: Callable[[], object], numbers: tuple[signal.Signals, ...]
-) -> None:
-    """Call back in the running loop on each of some signals.
-
-    Unlike the loop's own handlers, this one stays when the loop closes, so that
-    a repeated signal does not kill a process that is about to exit.
-    """
-    loop = asyncio.get_running_loop()
-
-    def handle_signal(_number: int, _frame: FrameType | None) -> None:
-        if not loop.is_closed():
-            loop.call_soon_threadsafe(callback)
-
-    for number in numbers:
-        signal.signal(number, handle_signal)
