--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -10,7 +10,7 @@
 PREFILL_TOKENS_S = 112_000.0
 """Rate of reading on engines of stage prefill, in tokens a second; from the
 users' sheet of their engines."""
-DECODE_TOKENS_S = 45_000.0
+DECODE_TOKENS_S = 33_000.0
 """Rate of reading on engines of stage decode: half of the above, less the steps
 of running streams between its short chunks."""
 PAIR_S = 0.218e-9
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -26,6 +26,9 @@
 """Cost of sending a prompt to an engine in another region, in s."""
 DECODE_SEAT_COST_S = 0.002
 """Cost of each stream that runs at an engine already, in s."""
+DECODE_READ_FACTOR = 1.5
+"""Cost of reading on a decode engine, relative to its time: each chunk holds up
+every stream that runs there."""
 _GIGA = 1e9
 TRANSFER_COST_S_GB = 0.15
 """Cost of moving a gigabyte of KV cache between engines of a zone, in s."""
@@ -150,6 +153,8 @@
             ROUND_TRIP_S[away] + wait_s + reading.time_s + FIRST_TOKEN_S * runner.pace
         )
         cost_s = expected_s + reading.cost_s + _region_cost_s(away) + seat_s
+        if runner.entry.stage is Stage.DECODE:
+            cost_s += DECODE_READ_FACTOR * reading.work_s
         return DirectPlan(
             runner=runner,
             fetch_from=reading.fetch_from,
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -310,6 +310,7 @@
             context.life.apply("answer")
         splitter = EventSplitter()
         wait_s = first_wait_s
+        first = True
         while True:
             async with asyncio.timeout(wait_s):
                 part = await attempt.read_part()
@@ -318,8 +319,9 @@
             events = _unseen(splitter.feed(part), progress.last_event)
             if not events:
                 continue
-            if wait_s == first_wait_s:
+            if first:
                 self._note_first_event(context, plan, attempt)
+                first = False
             wait_s = self._gap_wait_s(context)
             await self._pass_on(context, progress, exchange, head.headers, events)
         attempt.finish(head)
