Count cached parts once they are read, price links, and order stages under a tenure

Cause: a prefix counted as cached at an engine that had yet to read it, so later prompts were sent to fetch what was not there; prefills were given up after 0.8 s in a queue and read again elsewhere (p90 of their waits was that bound).

--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -7,7 +7,7 @@
 from lacewinglug.host.model import EngineProfile, RunnerEntry, Stage
 from lacewinglug.host.residency import ChainedPart, Residency
 
-PREFILL_TOKENS_S = 112_000.0
+PREFILL_TOKENS_S = 95_000.0
 """Rate of reading on engines of stage prefill, in tokens a second; from the
 users' sheet of their engines."""
 DECODE_TOKENS_S = 33_000.0
@@ -34,12 +34,14 @@
     :param residency: parts that it keeps.
     :param backlog: prompts that it has to read.
     :param pace: time that work takes there, 1.0 as computed.
+    :param switching_until_s: time until which it changes its stage.
     """
 
     entry: RunnerEntry
     residency: Residency
     backlog: ReadingBacklog = field(default_factory=ReadingBacklog)
     pace: float = 1.0
+    switching_until_s: float = 0.0
 
     def reading_s(self, *, new_tokens: int, cached_tokens: int) -> float:
         """Return the time to read a part of a prompt, in s.
@@ -100,8 +102,16 @@
         account = self._accounts.get(work.instance)
         if account is None:
             return
+        wait_s = account.backlog.wait_s(work.priority, now_s=now_s)
         account.backlog.add(work.priority, work.work_s, now_s=now_s)
-        account.residency.add(work.parts)
+        ready_s = now_s + wait_s + work.work_s + FIRST_TOKEN_S
+        account.residency.add(work.parts, ready_s=ready_s)
+
+    def note_switching(self, instance: str, *, until_s: float) -> None:
+        """Give an engine no work while it changes its stage."""
+        account = self._accounts.get(instance)
+        if account is not None:
+            account.switching_until_s = until_s
 
     def forget_gone(self, kept: Iterable[str]) -> None:
         """Drop the accounts of engines that have left."""
@@ -115,18 +125,21 @@
             residency = Residency(capacity_tokens=profile.capacity_tokens)
             account = EngineAccount(entry=entry, residency=residency)
             self._accounts[entry.instance] = account
+        if account.entry.stage is not entry.stage:
+            # The change is over: the engine is listed under its new stage.
+            account.switching_until_s = 0.0
         account.entry = entry
         return account
 
 
 def find_holder(
-    accounts: Sequence[EngineAccount], parts: Sequence[ChainedPart]
+    accounts: Sequence[EngineAccount], parts: Sequence[ChainedPart], *, now_s: float
 ) -> tuple[EngineAccount | None, int]:
-    """Return the engine that keeps the most of a prompt, and how many tokens."""
+    """Return the engine that has the most of a prompt now, and how many tokens."""
     best: EngineAccount | None = None
     most = 0
     for account in accounts:
-        tokens = account.residency.matched_tokens(parts)
+        tokens = account.residency.matched_tokens(parts, by_s=now_s)
         if tokens > most:
             best, most = account, tokens
     return best, most
--- a/lacewinglug/host/model.py
+++ b/lacewinglug/host/model.py
@@ -323,6 +323,46 @@
     tokens: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineReport:
+    """What an engine says of itself when asked.
+
+    :param stage: part of prompts that it takes.
+    :param busy: whether it carries out an order.
+    :param orders: orders that it has accepted since its start.
+    """
+
+    stage: Stage
+    busy: bool
+    orders: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StageOrder:
+    """An order that an engine takes another stage.
+
+    :param stage: the stage.
+    :param holder: host that gives the order.
+    :param fencing_number: number of the holder's tenure.
+    :param after_orders: orders that the engine must have accepted before.
+    """
+
+    stage: Stage
+    holder: str
+    fencing_number: int
+    after_orders: int
+
+
+class OrderReply(Enum):
+    """An engine's answer to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS_ALREADY = "holds_already"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REFUSED = "refused"
+
+
 @dataclass(kw_only=True, slots=True)
 class StoreSnapshot:
     """Newest records of a topic.
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -52,6 +52,7 @@
     ready: bool = False
     leaving: bool = False
     others: list[_IdentityMessage] = []
+    switching: list[str] = []
 
 
 _decoder = msgspec.msgpack.Decoder(_Datagram)
@@ -79,12 +80,14 @@
     :param geography: regions of the availability zones.
     :param on_work: called with the work that another host gave to an engine.
     :param own_state: returns whether this host is ready, and whether it leaves.
+    :param on_switching: called with an engine that is about to change its stage.
     """
 
     table: HostTable
     geography: Geography
     on_work: Callable[[EngineWork], None]
     own_state: Callable[[], tuple[bool, bool]]
+    on_switching: Callable[[str], None] = lambda _: None
     _transport: asyncio.DatagramTransport | None = None
     _pending: list[EngineWork] = field(default_factory=list)
     _beats: int = 0
@@ -118,6 +121,11 @@
         """Collect work for the next datagram to all hosts."""
         self._pending.append(work)
 
+    def tell_switching(self, instance: str) -> None:
+        """Tell the others at once that an engine is about to change its stage."""
+        data = _encoder.encode(_Datagram(switching=[instance]))
+        self._send_all(data, self.table.peers)
+
     async def send_batches(self) -> None:
         """Tell the others the collected work, until cancelled."""
         while True:
@@ -166,6 +174,8 @@
             return
         for item in message.work:
             self.on_work(_to_work(item))
+        for instance in message.switching:
+            self.on_switching(instance)
         for other in message.others:
             if self.table.learn(_to_identity(other)):
                 self.greet(other.ip)
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -17,6 +17,8 @@
 from lacewinglug.host.model import HostSettings
 from lacewinglug.host.peers import PeerLink
 from lacewinglug.host.reporting import HostMetrics, Reporter
+from lacewinglug.host.steward import StageSteward
+from lacewinglug.host.tenure import TenureKeeper
 from lacewinglug.host.watch import StoreWatch
 from lacewinglug.platform.calls import (
     decode_resolve,
@@ -43,6 +45,9 @@
 """Time between rounds that end stale connections, in s."""
 SETTINGS_EVERY_S = 2.0
 """Time between looks at the settings file, in s."""
+SWITCHING_NOTICE_S = 4.5
+"""Time for which an engine that another host ordered to change gets no work, in
+s: the usual change of three seconds and the age of the view of runners."""
 DRAIN_LOOK_S = 0.05
 """Time between looks whether a leaving host is idle, in s."""
 
@@ -87,9 +92,11 @@
             geography=self.state.geography,
             on_work=self._take_work,
             own_state=lambda: (self.ready, self.leaving),
+            on_switching=self._take_switching,
         )
+        store = StoreClient(address=settings.store_address)
         self._watch = StoreWatch(
-            store=StoreClient(address=settings.store_address),
+            store=store,
             routes=self.state.routes,
             fleet=self.state.fleet,
             hosts=self.table,
@@ -97,6 +104,19 @@
             now_s=self.state.now_s,
             on_failure=lambda what: self._metrics.store_failures.labels(what).inc(),
         )
+        self._steward = StageSteward(
+            state=self.state,
+            keeper=TenureKeeper(
+                store=store,
+                host=settings.name,
+                incarnation=own.incarnation,
+                lease_s=settings.lease_s,
+                now_s=self.state.now_s,
+                sleep=asyncio.sleep,
+            ),
+            is_planner=self._is_planner,
+            tell_switching=self._peers.tell_switching,
+        )
         dispatcher = Dispatcher(
             state=self.state, reporter=Reporter(metrics=self._metrics)
         )
@@ -149,6 +169,7 @@
                 self._watch.follow_hosts,
                 self._peers.send_beats,
                 self._peers.send_batches,
+                self._steward.run,
                 self._tidy,
                 self._follow_settings,
             )
@@ -238,6 +259,15 @@
     def _take_work(self, work: EngineWork) -> None:
         self.state.engines.note_work(work, now_s=self.state.now_s())
 
+    def _take_switching(self, instance: str) -> None:
+        until_s = self.state.now_s() + SWITCHING_NOTICE_S
+        self.state.engines.note_switching(instance, until_s=until_s)
+
+    def _is_planner(self) -> bool:
+        """Return whether this host is the first by name of those that serve."""
+        serving = self.table.serving(now_s=self.state.now_s())
+        return self.ready and all(host.name > self.settings.name for host in serving)
+
     def _client_limits(self) -> ClientLimits:
         configuration = self.state.routes.configuration
         if configuration is None or configuration.limits is None:
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -26,9 +26,12 @@
 """Cost of sending a prompt to an engine in another region, in s."""
 DECODE_SEAT_COST_S = 0.002
 """Cost of each stream that runs at an engine already, in s."""
-DECODE_READ_FACTOR = 1.5
+DECODE_READ_FACTOR = 0.7
 """Cost of reading on a decode engine, relative to its time: each chunk holds up
 every stream that runs there."""
+LINK_FACTOR = 2.0
+"""Cost of a transfer, relative to its time: the transfers of an engine run one
+after another, so each holds up the next."""
 _GIGA = 1e9
 TRANSFER_COST_S_GB = 0.15
 """Cost of moving a gigabyte of KV cache between engines of a zone, in s."""
@@ -121,7 +124,7 @@
         :param seats: streams that run at each engine.
         :param allow_split: whether the prompt may be read at another engine.
         """
-        holder, held = find_holder(accounts, job.parts)
+        holder, held = find_holder(accounts, job.parts, now_s=now_s)
         held = min(held, job.tokens - 1)
         runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
         readers = _preferred(accounts, avoided, stages=(Stage.PREFILL,))
@@ -229,10 +232,8 @@
         size = tokens * self.profile.token_bytes
         time_s = size / self.profile.link_bytes_s * TRANSFER_FACTOR[distance]
         factor = 1.0 + distance
-        return (
-            TRANSFER_SETUP_S + time_s,
-            TRANSFER_COST_S_GB * factor * size / _GIGA,
-        )
+        cost_s = TRANSFER_COST_S_GB * factor * size / _GIGA + LINK_FACTOR * time_s
+        return TRANSFER_SETUP_S + time_s, cost_s
 
     def _away(self, account: EngineAccount) -> Distance:
         return self.geography.distance(self.zone, account.entry.zone)
--- a/lacewinglug/host/residency.py
+++ b/lacewinglug/host/residency.py
@@ -1,5 +1,6 @@
 """Which parts of prompts an engine probably keeps in its KV cache."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -35,6 +36,12 @@
     return tuple(parts)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Resident:
+    tokens: int
+    ready_s: float
+
+
 @dataclass(kw_only=True, slots=True)
 class Residency:
     """Owns the parts that one engine probably keeps, the oldest use first.
@@ -43,31 +50,35 @@
     """
 
     capacity_tokens: int
-    _parts: OrderedDict[int, int] = field(default_factory=OrderedDict)
+    _parts: OrderedDict[int, _Resident] = field(default_factory=OrderedDict)
     _tokens: int = 0
 
-    def add(self, parts: Sequence[ChainedPart]) -> None:
-        """Note that the engine read or fetched parts."""
+    def add(self, parts: Sequence[ChainedPart], *, ready_s: float) -> None:
+        """Note that the engine reads or fetches parts.
+
+        :param ready_s: monotonic time at which it will have them.
+        """
         for part in parts:
             if part.key in self._parts:
                 self._parts.move_to_end(part.key)
             else:
-                self._parts[part.key] = part.tokens
+                self._parts[part.key] = _Resident(tokens=part.tokens, ready_s=ready_s)
                 self._tokens += part.tokens
         while self._tokens > self.capacity_tokens * CAPACITY_SHARE and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+            _, dropped = self._parts.popitem(last=False)
+            self._tokens -= dropped.tokens
+
+    def matched_tokens(
+        self, parts: Sequence[ChainedPart], *, by_s: float = math.inf
+    ) -> int:
+        """Return the tokens of the leading parts that the engine keeps.
 
-    def matched_tokens(self, parts: Sequence[ChainedPart]) -> int:
-        """Return the tokens of the leading parts that the engine keeps."""
+        :param by_s: time by which it must have them.
+        """
         total = 0
         for part in parts:
-            if part.key not in self._parts:
+            found = self._parts.get(part.key)
+            if found is None or found.ready_s > by_s:
                 break
             total += part.tokens
         return total
-
-    def clear(self) -> None:
-        """Forget all parts, as after a restart of the engine."""
-        self._parts.clear()
-        self._tokens = 0
--- /dev/null
+++ b/lacewinglug/host/steward.py
@@ -0,0 +1,197 @@
+"""Gives orders to engines where this host holds the tenure."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lacewinglug.host.context import HostState
+from lacewinglug.host.model import (
+    EngineReport,
+    OrderReply,
+    RunnerEntry,
+    Service,
+    StageOrder,
+)
+from lacewinglug.host.stages import StageChange, plan_stages
+from lacewinglug.host.tenure import Tenure, TenureKeeper
+from lacewinglug.platform.calls import (
+    ORDER_TARGET,
+    REPORT_TARGET,
+    decode_order_reply,
+    decode_report,
+    encode_order,
+)
+from lacewinglug.platform.headers import instance_headers
+from lacewinglug.wire.client import UpstreamError
+from lacewinglug.wire.messages import Response
+
+logger = logging.getLogger(__name__)
+
+SETTLE_S = 1.5
+"""Time after the start before the first plan, in s; hosts find one another and
+runners register."""
+PLAN_EVERY_S = 2.0
+"""Time between plans, in s; twice the age of the view of runners."""
+CALL_TIMEOUT_S = 1.0
+"""Longest time for an engine's answer to a report or an order, in s."""
+UNSETTLED_S = 15.0
+"""Time after an order without an answer in which it may still be carried out, in
+s; the platform says that it may take twelve."""
+SWITCH_MARGIN_S = 1.5
+"""Time beyond an engine's change until hosts see it in the store, in s."""
+STABLE_S = 1.0
+"""Time for which a plan must stay the same before it is carried out, in s."""
+_MOST_BYTES = 65_536
+
+
+@dataclass(kw_only=True)
+class StageSteward:
+    """Owns the plan of stages, and the orders that carry it out.
+
+    :param state: the host.
+    :param keeper: claims and checks the tenure.
+    :param is_planner: returns whether this host is the one to plan.
+    :param tell_switching: tells other hosts that an engine changes its stage.
+    """
+
+    state: HostState
+    keeper: TenureKeeper
+    is_planner: Callable[[], bool]
+    tell_switching: Callable[[str], None]
+    _unsettled_until_s: dict[str, float] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Plan again and again, until cancelled."""
+        await asyncio.sleep(SETTLE_S)
+        while True:
+            if self.is_planner():
+                await self._plan_all()
+            await asyncio.sleep(PLAN_EVERY_S)
+
+    async def _plan_all(self) -> None:
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.engine is not None:
+                await self._plan(service)
+
+    async def _plan(self, service: Service) -> None:
+        if not self._changes(service):
+            return
+        await asyncio.sleep(STABLE_S)
+        changes = self._changes(service)
+        if not changes or not self.is_planner():
+            return
+        tenure = await self.keeper.acquire()
+        if tenure is None:
+            return
+        for change in self._changes(service):
+            if not await self._carry_out(service, change, tenure):
+                return
+
+    def _changes(self, service: Service) -> list[StageChange]:
+        """Return the changes that may be ordered now."""
+        now_s = self.state.now_s()
+        entries = self.state.fleet.ready(service.name)
+        streams = sum(
+            self.state.upstreams.health(item.instance).in_use(now_s) for item in entries
+        )
+        return [
+            change
+            for change in plan_stages(entries, streams=streams)
+            if self._unsettled_until_s.get(change.entry.instance, 0.0) <= now_s
+        ]
+
+    async def _carry_out(
+        self, service: Service, change: StageChange, tenure: Tenure
+    ) -> bool:
+        """Order one change; return whether more orders may follow."""
+        instance = change.entry.instance
+        try:
+            report = await self._read_report(service, change.entry)
+            if report is None or report.busy or report.stage is change.stage:
+                return True
+            if not await self.keeper.still_holds():
+                return False
+            self._announce(service, instance)
+            reply = await self._order(service, change, tenure, report)
+        except (UpstreamError, TimeoutError) as error:
+            # The order may have been accepted, or may be carried out later.
+            self._unsettled_until_s[instance] = self.state.now_s() + UNSETTLED_S
+            logger.warning(
+                "order without an answer",
+                extra={"runner": instance, "reason": str(error) or "timeout"},
+            )
+            return True
+        logger.info(
+            "order answered",
+            extra={
+                "runner": instance,
+                "stage": change.stage.value,
+                "fencing_number": tenure.fencing_number,
+                "reply": reply.value,
+            },
+        )
+        if reply is OrderReply.FENCED:
+            self.keeper.note_fenced()
+            return False
+        settle_s = (service.engine.switch_s if service.engine else 0.0) + UNSETTLED_S
+        self._unsettled_until_s[instance] = self.state.now_s() + settle_s
+        return True
+
+    def _announce(self, service: Service, instance: str) -> None:
+        switch_s = service.engine.switch_s if service.engine else 0.0
+        until_s = self.state.now_s() + switch_s + SWITCH_MARGIN_S
+        self.state.engines.note_switching(instance, until_s=until_s)
+        self.tell_switching(instance)
+
+    async def _read_report(
+        self, service: Service, entry: RunnerEntry
+    ) -> EngineReport | None:
+        response = await self._call(service, entry, b"GET", REPORT_TARGET, b"")
+        return decode_report(response.body) if response.status == 200 else None
+
+    async def _order(
+        self,
+        service: Service,
+        change: StageChange,
+        tenure: Tenure,
+        report: EngineReport,
+    ) -> OrderReply:
+        order = StageOrder(
+            stage=change.stage,
+            holder=tenure.holder,
+            fencing_number=tenure.fencing_number,
+            after_orders=report.orders,
+        )
+        response = await self._call(
+            service, change.entry, b"POST", ORDER_TARGET, encode_order(order)
+        )
+        return decode_order_reply(response.status)
+
+    async def _call(
+        self,
+        service: Service,
+        entry: RunnerEntry,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+    ) -> Response:
+        pool = self.state.upstreams.pool(entry, service)
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            connection = await pool.acquire(timeout_s=CALL_TIMEOUT_S)
+            try:
+                connection.send_request(
+                    method=method,
+                    target=target,
+                    headers=instance_headers(entry.address, entry.instance),
+                    body=body,
+                )
+                response = await connection.read_whole(most_bytes=_MOST_BYTES)
+            except BaseException:
+                pool.drop(connection)
+                raise
+        pool.release(connection, response.headers)
+        return response
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -31,8 +31,9 @@
 FIRST_EVENT_PATIENCE = 3.0
 """Multiple of the expected time to the first event after which a stream that may
 be resumed is tried elsewhere."""
-SHORTEST_PATIENCE_S = 0.8
-"""Bound of that time, in s; several usual first tokens."""
+SHORTEST_PATIENCE_S = 2.0
+"""Bound of that time, in s; a shorter one breaks off work that merely waits and
+adds to the load that it waits for."""
 GAP_PATIENCE = 3.0
 """Multiple of the route's longest pause after which a stream that may be resumed
 goes on elsewhere."""
@@ -128,6 +129,11 @@
             for entry in entries
             if entry.instance in context.tried or health(entry.instance).blocked(now_s)
         }
+        blocked.update(
+            account.entry.instance
+            for account in accounts
+            if account.switching_until_s > now_s
+        )
         plan = self._planner(context, profile).plan(
             job,
             accounts,
--- a/lacewinglug/platform/calls.py
+++ b/lacewinglug/platform/calls.py
@@ -6,11 +6,25 @@
 
 import msgspec
 
-from lacewinglug.host.model import PrefillAnswer
+from lacewinglug.host.model import (
+    EngineReport,
+    OrderReply,
+    PrefillAnswer,
+    Stage,
+    StageOrder,
+)
 from lacewinglug.wire.messages import Request, Response
 
 _READY_PATH = "/-/readyz"
 _RESOLVE_PATH = "/-/resolve"
+REPORT_TARGET = b"/-/report"
+ORDER_TARGET = b"/-/order"
+_ORDER_REPLIES = {
+    200: OrderReply.HOLDS_ALREADY,
+    202: OrderReply.ACCEPTED,
+    409: OrderReply.CONFLICT,
+    412: OrderReply.FENCED,
+}
 _JSON = ((b"Content-Type", b"application/json"),)
 _MOST_ADDRESSES = 64
 
@@ -27,6 +41,13 @@
     zone: str
 
 
+class _Report(msgspec.Struct, rename="pascal"):
+    stage: str = ""
+    busy: bool = False
+    # Orders accepted; in a runner's entry the same name counts its heartbeats.
+    sequence: int = 0
+
+
 class _Handle(msgspec.Struct, rename="pascal"):
     transfer_handle: str
     tokens: int = 0
@@ -68,3 +89,31 @@
 def drop_handle_target(handle: str) -> bytes:
     """Return the path at which a KV cache that nobody fetches is freed."""
     return f"/-/kv-handle/{handle}".encode()
+
+
+def decode_report(body: bytes) -> EngineReport | None:
+    """Read an engine's report, None where it is none."""
+    try:
+        raw = msgspec.json.decode(body, type=_Report)
+        stage = Stage(raw.stage)
+    except (msgspec.DecodeError, ValueError):
+        return None
+    return EngineReport(stage=stage, busy=raw.busy, orders=raw.sequence)
+
+
+def encode_order(order: StageOrder) -> bytes:
+    """Return the body of an order."""
+    return msgspec.json.encode(
+        {
+            "Op": "Stage",
+            "Stage": order.stage.value,
+            "Holder": order.holder,
+            "FencingToken": order.fencing_number,
+            "Precondition": order.after_orders,
+        }
+    )
+
+
+def decode_order_reply(status: int) -> OrderReply:
+    """Read an engine's answer to an order."""
+    return _ORDER_REPLIES.get(status, OrderReply.REFUSED)
--- a/lacewinglug/platform/headers.py
+++ b/lacewinglug/platform/headers.py
@@ -114,6 +114,15 @@
     return (*kept, *added)
 
 
+def instance_headers(address: str, instance: str) -> Headers:
+    """Return the headers of a call that only one runner may take."""
+    return (
+        (b"Host", address.encode()),
+        (_EXPECT_INSTANCE, instance.encode()),
+        (b"Content-Type", b"application/json"),
+    )
+
+
 def decode_answer(headers: Headers) -> AnswerFacts:
     """Read what the head of a runner's answer says."""
     request_id = first_header(headers, _REQUEST_ID.lower()) or b""
--- a/lacewinglug/platform/store.py
+++ b/lacewinglug/platform/store.py
@@ -24,6 +24,9 @@
 """Longest answer of the store that is read."""
 _OK = 200
 _GONE = 410
+_PRECONDITION_FAILED = 412
+_READ_HEAD = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
 _MS_PER_S = 1000
 
 
@@ -31,6 +34,11 @@
     """A call to the store had no usable answer."""
 
 
+class _Expired(msgspec.Struct, rename="pascal"):
+    # Offset of the oldest record that is kept.
+    first: int
+
+
 class _Item(msgspec.Struct, rename="pascal"):
     key: str
     value: str
@@ -94,10 +102,8 @@
         )
         if response.status == _GONE:
             return True
-        if len(response.body) < 16:
-            raise StoreError("an answer of the store is too short")
-        (end_offset,) = struct.unpack_from(">Q", response.body)
-        return bool(end_offset != from_offset)
+        _, end_offset = _split_records(response.body)
+        return end_offset != from_offset
 
     async def put(self, topic: str, *, key: str, value: bytes) -> None:
         """Write the newest record of a key; an empty value drops the key.
@@ -110,6 +116,39 @@
         query = {"Topic": topic, "part": "0"}
         await self._call(b"POST", "/-/log-append", query, body=body)
 
+    async def read_records(
+        self, topic: str, *, from_offset: int
+    ) -> tuple[list[bytes], int]:
+        """Return the records of a topic from an offset on, and its end.
+
+        Records that have expired are left out.
+
+        :raises StoreError: the store did not answer.
+        """
+        query = {"Topic": topic, "part": "0", "From": str(from_offset)}
+        response = await self._call(b"GET", "/-/log-read", query, accepted=(_OK, _GONE))
+        if response.status == _GONE:
+            return await self.read_records(
+                topic, from_offset=_decode_first_offset(response)
+            )
+        return _split_records(response.body)
+
+    async def append_at(self, topic: str, data: bytes, *, offset: int) -> bool:
+        """Append a record if the topic ends at an offset; return whether it did.
+
+        :raises StoreError: the append is not confirmed; it may hold all the same.
+        """
+        query = {"Topic": topic, "part": "0", "At": str(offset)}
+        body = struct.pack(">I", len(data)) + data
+        response = await self._call(
+            b"POST",
+            "/-/log-append",
+            query,
+            body=body,
+            accepted=(_OK, _PRECONDITION_FAILED),
+        )
+        return response.status == _OK
+
     def close(self) -> None:
         """End the idle connections."""
         self._pool.close()
@@ -165,3 +204,25 @@
         return base64.b64decode(item.value, validate=True)
     except binascii.Error:
         return b""
+
+
+def _decode_first_offset(response: Response) -> int:
+    try:
+        return msgspec.json.decode(response.body, type=_Expired).first
+    except msgspec.DecodeError as error:
+        raise StoreError(f"an answer of the store cannot be read: {error}") from None
+
+
+def _split_records(data: bytes) -> tuple[list[bytes], int]:
+    """Return the records of an answer to a read, and the end of the topic."""
+    if len(data) < _READ_HEAD.size:
+        raise StoreError("an answer of the store is too short")
+    end_offset, _ = _READ_HEAD.unpack_from(data)
+    records = []
+    place = _READ_HEAD.size
+    while place + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, place)
+        place += _LENGTH.size
+        records.append(data[place : place + length])
+        place += length
+    return records, end_offset
