--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -15,6 +15,7 @@
     Route,
     RunnerEntry,
     Service,
+    Stage,
     UpstreamCall,
 )
 from lacewinglug.host.reporting import HostMetrics, RequestStory
@@ -70,6 +71,16 @@
             self._budgets[service] = found
         return found
 
+    def own_streams(self) -> dict[str, int]:
+        """Return how many streams this host runs at each engine."""
+        counts = {}
+        for entry in self.fleet.entries:
+            if entry.stage is Stage.DECODE:
+                running = self.upstreams.health(entry.instance).outstanding
+                if running:
+                    counts[entry.instance] = running
+        return counts
+
     def forget_gone(self) -> None:
         """Drop what is known of runners that have left."""
         kept = [entry.instance for entry in self.fleet.entries]
--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -24,6 +24,9 @@
 SHORTEST_PACE = 0.8
 """Bound of the believed speed of an engine."""
 _SHORT_SAMPLE_S = 0.02
+STREAM_COUNTS_TTL_S = 2.6
+"""Time after which the streams that another host told of no longer count, in s;
+as long as its silence is borne."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,12 +83,18 @@
     parts: tuple[ChainedPart, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _StreamCounts:
+    counts: dict[str, int]
+    heard_s: float
+
+
 @dataclass(kw_only=True)
 class EngineBook:
     """Owns the accounts of the engines of all services."""
 
     _accounts: dict[str, EngineAccount] = field(default_factory=dict)
-    _born: dict[str, int] = field(default_factory=dict)
+    _streams: dict[str, _StreamCounts] = field(default_factory=dict)
 
     def accounts(
         self, entries: Iterable[RunnerEntry], profile: EngineProfile
@@ -107,6 +116,21 @@
         ready_s = now_s + wait_s + work.work_s + FIRST_TOKEN_S
         account.residency.add(work.parts, ready_s=ready_s)
 
+    def note_streams(self, host: str, counts: dict[str, int], *, now_s: float) -> None:
+        """Take the number of streams that another host runs at each engine."""
+        self._streams[host] = _StreamCounts(counts=counts, heard_s=now_s)
+
+    def streams_elsewhere(self, *, now_s: float) -> dict[str, int]:
+        """Return the streams of all other hosts at each engine."""
+        totals: dict[str, int] = {}
+        for host, item in list(self._streams.items()):
+            if now_s - item.heard_s > STREAM_COUNTS_TTL_S:
+                del self._streams[host]
+                continue
+            for instance, count in item.counts.items():
+                totals[instance] = totals.get(instance, 0) + count
+        return totals
+
     def note_switching(self, instance: str, *, until_s: float) -> None:
         """Give an engine no work while it changes its stage."""
         account = self._accounts.get(instance)
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -53,6 +53,7 @@
     leaving: bool = False
     others: list[_IdentityMessage] = []
     switching: list[str] = []
+    streams: dict[str, int] = {}
 
 
 _decoder = msgspec.msgpack.Decoder(_Datagram)
@@ -80,6 +81,8 @@
     :param geography: regions of the availability zones.
     :param on_work: called with the work that another host gave to an engine.
     :param own_state: returns whether this host is ready, and whether it leaves.
+    :param own_streams: returns how many streams this host runs at each engine.
+    :param on_streams: called with another host and its streams at each engine.
     :param on_switching: called with an engine that is about to change its stage.
     """
 
@@ -88,6 +91,8 @@
     on_work: Callable[[EngineWork], None]
     own_state: Callable[[], tuple[bool, bool]]
     on_switching: Callable[[str], None] = lambda _: None
+    own_streams: Callable[[], dict[str, int]] = dict
+    on_streams: Callable[[str, dict[str, int]], None] = lambda _host, _counts: None
     _transport: asyncio.DatagramTransport | None = None
     _pending: list[EngineWork] = field(default_factory=list)
     _beats: int = 0
@@ -185,6 +190,7 @@
     def _take_beat(self, message: _Datagram, sender: _IdentityMessage) -> None:
         now_s = asyncio.get_running_loop().time()
         identity = _to_identity(sender)
+        self.on_streams(identity.name, message.streams)
         new = self.table.note_beat(
             identity, ready=message.ready, leaving=message.leaving, now_s=now_s
         )
@@ -201,6 +207,7 @@
                 ready=ready,
                 leaving=leaving,
                 others=list(others),
+                streams=self.own_streams(),
             )
         )
 
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -93,6 +93,8 @@
             on_work=self._take_work,
             own_state=lambda: (self.ready, self.leaving),
             on_switching=self._take_switching,
+            own_streams=self.state.own_streams,
+            on_streams=self._take_streams,
         )
         store = StoreClient(address=settings.store_address)
         self._watch = StoreWatch(
@@ -259,6 +261,9 @@
     def _take_work(self, work: EngineWork) -> None:
         self.state.engines.note_work(work, now_s=self.state.now_s())
 
+    def _take_streams(self, host: str, counts: dict[str, int]) -> None:
+        self.state.engines.note_streams(host, counts, now_s=self.state.now_s())
+
     def _take_switching(self, instance: str) -> None:
         until_s = self.state.now_s() + SWITCHING_NOTICE_S
         self.state.engines.note_switching(instance, until_s=until_s)
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -1,7 +1,7 @@
 """Places a prompt on engines: where it is read, and where its stream runs."""
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lacewinglug.host.distance import (
     ROUND_TRIP_S,
@@ -24,11 +24,14 @@
 reading takes from other prompts at a decode engine, and its price."""
 REGION_COST_S = 0.08
 """Cost of sending a prompt to an engine in another region, in s."""
-DECODE_SEAT_COST_S = 0.002
-"""Cost of each stream that runs at an engine already, in s."""
-DECODE_READ_FACTOR = 0.7
-"""Cost of reading on a decode engine, relative to its time: each chunk holds up
-every stream that runs there."""
+SEAT_COST_S = 0.006
+"""Cost of each stream that runs at an engine already, in s; some sixty tokens,
+each of which it makes a tenth of a millisecond slower."""
+HOLD_UP_FACTOR = 0.15
+"""Cost of reading on a decode engine, relative to its time, for each stream that
+runs there and is held up by every chunk."""
+FAILURE_COST_S = 1.5
+"""Cost of a run that fails, in s; a silent one is found after about that."""
 LINK_FACTOR = 2.0
 """Cost of a transfer, relative to its time: the transfers of an engine run one
 after another, so each holds up the next."""
@@ -92,6 +95,26 @@
     priority: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Burden:
+    """What is known of an engine besides its account.
+
+    :param streams: streams that run there, of all hosts.
+    :param failure_share: believed share of its runs that fail.
+    """
+
+    streams: int = 0
+    failure_share: float = 0.0
+
+    @property
+    def cost_s(self) -> float:
+        """Cost of one more stream there, in s."""
+        return SEAT_COST_S * self.streams + FAILURE_COST_S * self.failure_share
+
+
+_NO_BURDEN = Burden()
+
+
 @dataclass(kw_only=True)
 class PromptPlanner:
     """Chooses the plan with the least cost among the engines of a service.
@@ -114,30 +137,32 @@
         *,
         now_s: float,
         avoided: Collection[str] = (),
-        seats: dict[str, int] | None = None,
+        burdens: dict[str, Burden] | None = None,
         allow_split: bool = True,
     ) -> PromptPlan | None:
         """Return the best plan, None where no engine can stream.
 
         :param accounts: engines that take new work.
         :param avoided: engines to use only where there is no other.
-        :param seats: streams that run at each engine.
+        :param burdens: what is known of engines besides their accounts.
         :param allow_split: whether the prompt may be read at another engine.
         """
         holder, held = find_holder(accounts, job.parts, now_s=now_s)
         held = min(held, job.tokens - 1)
         runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
         readers = _preferred(accounts, avoided, stages=(Stage.PREFILL,))
-        taken = seats or {}
+        known = burdens or {}
         plans: list[PromptPlan] = []
         for runner in runners:
-            seat_s = DECODE_SEAT_COST_S * taken.get(runner.entry.instance, 0)
-            plans.append(self._direct(job, runner, holder, held, seat_s, now_s))
-            if allow_split:
-                plans.extend(
-                    self._split(job, reader, runner, holder, held, seat_s, now_s)
-                    for reader in readers
-                )
+            burden = known.get(runner.entry.instance, _NO_BURDEN)
+            plans.append(self._direct(job, runner, holder, held, burden, now_s))
+            if not allow_split:
+                continue
+            for reader in readers:
+                failing = known.get(reader.entry.instance, _NO_BURDEN).failure_share
+                plan = self._split(job, reader, runner, holder, held, burden, now_s)
+                cost_s = plan.cost_s + FAILURE_COST_S * failing
+                plans.append(replace(plan, cost_s=cost_s))
         return min(plans, key=lambda plan: plan.cost_s, default=None)
 
     def _direct(
@@ -146,7 +171,7 @@
         runner: EngineAccount,
         holder: EngineAccount | None,
         held: int,
-        seat_s: float,
+        burden: "Burden",
         now_s: float,
     ) -> DirectPlan:
         reading = self._reading(job, runner, holder, held)
@@ -155,9 +180,9 @@
         expected_s = (
             ROUND_TRIP_S[away] + wait_s + reading.time_s + FIRST_TOKEN_S * runner.pace
         )
-        cost_s = expected_s + reading.cost_s + _region_cost_s(away) + seat_s
+        cost_s = expected_s + reading.cost_s + _region_cost_s(away) + burden.cost_s
         if runner.entry.stage is Stage.DECODE:
-            cost_s += DECODE_READ_FACTOR * reading.work_s
+            cost_s += HOLD_UP_FACTOR * burden.streams * reading.work_s
         return DirectPlan(
             runner=runner,
             fetch_from=reading.fetch_from,
@@ -173,7 +198,7 @@
         runner: EngineAccount,
         holder: EngineAccount | None,
         held: int,
-        seat_s: float,
+        burden: "Burden",
         now_s: float,
     ) -> SplitPlan:
         reading = self._reading(job, reader, holder, held)
@@ -186,9 +211,10 @@
             + reading.time_s
             + ROUND_TRIP_S[runner_away]
             + move_s
+            + runner.backlog.wait_s(job.priority, now_s=now_s)
             + FIRST_TOKEN_S * runner.pace
         )
-        cost_s = expected_s + reading.cost_s + move_cost_s + seat_s
+        cost_s = expected_s + reading.cost_s + move_cost_s + burden.cost_s
         cost_s += _region_cost_s(reader_away) + _region_cost_s(runner_away)
         return SplitPlan(
             reader=reader,
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -13,8 +13,9 @@
 from lacewinglug.host.context import Attempt, HostState, RequestContext
 from lacewinglug.host.engines import EngineAccount, EngineWork
 from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
-from lacewinglug.host.model import EngineProfile, Prompt, UpstreamCall
+from lacewinglug.host.model import EngineProfile, Prompt, RunnerEntry, UpstreamCall
 from lacewinglug.host.prompts import (
+    Burden,
     DirectPlan,
     PromptJob,
     PromptPlan,
@@ -34,7 +35,7 @@
 SHORTEST_PATIENCE_S = 2.0
 """Bound of that time, in s; a shorter one breaks off work that merely waits and
 adds to the load that it waits for."""
-GAP_PATIENCE = 3.0
+GAP_PATIENCE = 2.0
 """Multiple of the route's longest pause after which a stream that may be resumed
 goes on elsewhere."""
 FREE_HANDLE_TIMEOUT_S = 1.0
@@ -139,15 +140,26 @@
             accounts,
             now_s=now_s,
             avoided=blocked,
-            seats={
-                entry.instance: health(entry.instance).outstanding for entry in entries
-            },
-            allow_split=not progress.split_failed and not progress.started,
+            burdens=self._burdens(entries, now_s),
+            allow_split=not progress.split_failed,
         )
         if plan is not None:
             context.story.add("place", now_s=now_s, **_describe(plan))
         return plan
 
+    def _burdens(
+        self, entries: Sequence[RunnerEntry], now_s: float
+    ) -> dict[str, Burden]:
+        elsewhere = self.state.engines.streams_elsewhere(now_s=now_s)
+        burdens = {}
+        for entry in entries:
+            health = self.state.upstreams.health(entry.instance)
+            burdens[entry.instance] = Burden(
+                streams=health.outstanding + elsewhere.get(entry.instance, 0),
+                failure_share=health.failure_share(now_s),
+            )
+        return burdens
+
     def _planner(
         self, context: RequestContext, profile: EngineProfile
     ) -> PromptPlanner:
@@ -212,7 +224,7 @@
                 head = await attempt.read_head()
                 response = await attempt.read_whole(head, most_bytes=MOST_ANSWER_BYTES)
         except (UpstreamError, TimeoutError) as error:
-            attempt.health.note_answer(failed=True, now_s=self.state.now_s())
+            self._note_loss(attempt, silent=isinstance(error, TimeoutError))
             context.sends += 1
             context.story.add(
                 "prefill", now_s=self.state.now_s(), result=str(error) or "timeout"
@@ -290,7 +302,7 @@
             return await self._read_stream(context, progress, plan, exchange, attempt)
         except (UpstreamError, TimeoutError, EventTooLongError) as error:
             context.life.apply("lose")
-            attempt.health.note_answer(failed=True, now_s=self.state.now_s())
+            self._note_loss(attempt, silent=isinstance(error, TimeoutError))
             return _Failed(reason=str(error) or "silent")
         finally:
             attempt.drop()
@@ -358,6 +370,14 @@
         if data:
             await exchange.write(data)
 
+    def _note_loss(self, attempt: Attempt, *, silent: bool) -> None:
+        """Note a run that ended early; a silent engine gets no work for a while."""
+        now_s = self.state.now_s()
+        if silent:
+            attempt.health.note_unreachable(now_s=now_s)
+        else:
+            attempt.health.note_answer(failed=True, now_s=now_s)
+
     def _judge(
         self,
         context: RequestContext,
