--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -27,7 +27,7 @@
 SEAT_COST_S = 0.006
 """Cost of each stream that runs at an engine already, in s; some sixty tokens,
 each of which it makes a tenth of a millisecond slower."""
-HOLD_UP_FACTOR = 0.15
+HOLD_UP_FACTOR = 0.5
 """Cost of reading on a decode engine, relative to its time, for each stream that
 runs there and is held up by every chunk."""
 FAILURE_COST_S = 1.5
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -11,7 +11,12 @@
     REJECTED_RETRY_S,
 )
 from lacewinglug.host.context import Attempt, HostState, RequestContext
-from lacewinglug.host.engines import EngineAccount, EngineWork
+from lacewinglug.host.engines import (
+    PREFILL_TOKENS_S,
+    EngineAccount,
+    EngineWork,
+    find_holder,
+)
 from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
 from lacewinglug.host.model import EngineProfile, Prompt, RunnerEntry, UpstreamCall
 from lacewinglug.host.prompts import (
@@ -22,6 +27,7 @@
     PromptPlanner,
     SplitPlan,
 )
+from lacewinglug.host.ranks import choose_rank
 from lacewinglug.host.residency import ChainedPart, chain_parts
 from lacewinglug.platform.calls import decode_prefill, drop_handle_target
 from lacewinglug.platform.headers import decode_answer, encode_answer
@@ -48,7 +54,6 @@
 _SERVER_ERROR = 500
 _OK = 200
 _DEFAULT_GAP_S = 0.5
-_PRIORITIES = 9
 
 
 @dataclass(kw_only=True)
@@ -58,6 +63,9 @@
     :param last_event: number of its last event, None before the first.
     :param started: whether the head was sent.
     :param failure: a runner's own failure, the last resort as an answer.
+    :param unreached: runners to which no connection could be had.
+    :param split_failed: whether reading at another engine has failed.
+    :param rank: rank of the prompt at engines.
     """
 
     last_event: int | None = None
@@ -65,6 +73,7 @@
     failure: Response | None = None
     unreached: int = 0
     split_failed: bool = False
+    rank: int = 5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,7 +118,12 @@
             now_s = self.state.now_s()
             match result:
                 case _Finished():
-                    context.story.add("finished", now_s=now_s)
+                    context.story.add(
+                        "finished",
+                        now_s=now_s,
+                        events=progress.last_event,
+                        most_tokens=_prompt(context).output_tokens,
+                    )
                     return None
                 case Response():
                     return result
@@ -120,10 +134,11 @@
 
     def _plan(self, context: RequestContext, progress: _Progress) -> PromptPlan | None:
         now_s = self.state.now_s()
-        job = _job(context)
         profile = context.service.engine or EngineProfile()
         entries = self.state.fleet.ready(context.service.name)
         accounts = self.state.engines.accounts(entries, profile)
+        job = _job(context, accounts, now_s=now_s)
+        progress.rank = job.priority
         health = self.state.upstreams.health
         blocked = {
             entry.instance
@@ -194,7 +209,9 @@
                     context, progress, plan, exchange, source
                 )
             case DirectPlan():
-                self._book(context, plan.runner, plan.work_s, _shared(context))
+                self._book(
+                    context, progress, plan.runner, plan.work_s, _shared(context)
+                )
                 fetch_from = plan.fetch_from
                 address = None if fetch_from is None else fetch_from.entry.address
                 return await self._stream(
@@ -206,7 +223,7 @@
     ) -> str | None:
         """Let an engine read the prompt; return the handle of its KV cache."""
         reader = plan.reader
-        self._book(context, reader, plan.work_s, _shared(context))
+        self._book(context, progress, reader, plan.work_s, _shared(context))
         attempt = Attempt(state=self.state, context=context, entry=reader.entry)
         wait_s = max(SHORTEST_PATIENCE_S, plan.expected_s * FIRST_EVENT_PATIENCE)
         fetch_from = plan.fetch_from
@@ -215,6 +232,7 @@
             attempt.send(
                 self._call(
                     context,
+                    progress,
                     reader,
                     prefill_only=True,
                     fetch_from=None if fetch_from is None else fetch_from.entry.address,
@@ -254,7 +272,7 @@
         exchange: Exchange,
         handle: str,
     ) -> _Finished | _Failed | Response:
-        self._book(context, plan.runner, 0.0, _shared(context))
+        self._book(context, progress, plan.runner, 0.0, _shared(context))
         source = f"{plan.reader.entry.address}/{handle}"
         result: _Finished | _Failed | Response | None = None
         try:
@@ -286,6 +304,7 @@
             attempt.send(
                 self._call(
                     context,
+                    progress,
                     runner,
                     cache_source=cache_source,
                     fetch_from=fetch_from,
@@ -428,6 +447,7 @@
     def _call(
         self,
         context: RequestContext,
+        progress: _Progress,
         account: EngineAccount,
         *,
         prefill_only: bool = False,
@@ -438,7 +458,7 @@
         return UpstreamCall(
             instance=account.entry.instance,
             deadline_s=context.deadline_s(self.state.now_s()),
-            priority=_priority(context),
+            priority=progress.rank,
             prefill_only=prefill_only,
             cache_source=cache_source,
             fetch_from=fetch_from,
@@ -448,6 +468,7 @@
     def _book(
         self,
         context: RequestContext,
+        progress: _Progress,
         account: EngineAccount,
         work_s: float,
         parts: tuple[ChainedPart, ...],
@@ -455,7 +476,7 @@
         """Note work for an engine here, and tell the other hosts."""
         work = EngineWork(
             instance=account.entry.instance,
-            priority=_priority(context),
+            priority=progress.rank,
             work_s=work_s,
             parts=parts,
         )
@@ -532,13 +553,16 @@
             context.story.add("free", now_s=self.state.now_s(), result=str(error))
 
 
-def _job(context: RequestContext) -> PromptJob:
-    prompt = _prompt(context)
-    return PromptJob(
-        parts=_shared(context),
-        tokens=max(1, prompt.prompt_tokens),
-        priority=_priority(context),
-    )
+def _job(
+    context: RequestContext, accounts: Sequence[EngineAccount], *, now_s: float
+) -> PromptJob:
+    parts = _shared(context)
+    tokens = max(1, _prompt(context).prompt_tokens)
+    _, held = find_holder(accounts, parts, now_s=now_s)
+    reading_s = max(0, tokens - held) / PREFILL_TOKENS_S
+    late_s = context.request.received_s + context.route.target_latency_s
+    rank = choose_rank(left_s=late_s - now_s, reading_s=reading_s)
+    return PromptJob(parts=parts, tokens=tokens, priority=rank)
 
 
 def _prompt(context: RequestContext) -> Prompt:
@@ -550,10 +574,6 @@
     return chain_parts(_prompt(context))[:-1]
 
 
-def _priority(context: RequestContext) -> int:
-    return min(max(context.route.priority, 0), _PRIORITIES)
-
-
 def _unseen(events: Sequence[Event], last_event: int | None) -> list[Event]:
     """Return the events that the client does not have yet."""
     return [
