Ask again where a prompt goes on once it was read

The engine is now chosen when the prefill ends, and no request is sent to a runner that has left the view.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -110,6 +110,11 @@
     sends: int = 0
     tried: set[str] = field(default_factory=set)
 
+    @property
+    def late_at_s(self) -> float:
+        """Monotonic time from which an answer is late."""
+        return self.request.received_s + self.route.target_latency_s
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the final answer is due."""
         return self.expires_s - now_s
@@ -161,9 +166,13 @@
     def send(self, call: UpstreamCall) -> None:
         """Send the request.
 
-        :raises UpstreamError: the connection had ended; nothing was sent.
+        :raises UpstreamError: the connection had ended or the runner leaves; nothing
+            was sent.
         """
         assert self._connection is not None
+        known = self._state.fleet.get(self.entry.instance)
+        if known is None or known.draining:
+            raise UpstreamError("the runner has left", sent=False)
         request = self._context.request
         self.started_s = self._state.now_s()
         self._connection.send_request(
--- a/lacewinglug/host/listeners.py
+++ b/lacewinglug/host/listeners.py
@@ -50,6 +50,20 @@
                 "choose a free address of this host"
             ) from None
 
+    @property
+    def bound_address(self) -> str:
+        """Address that is listened on, with the port that was found free."""
+        if self._server is None:
+            return self.address
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Stop listening and end all connections."""
+        self.stop_accepting()
+        for connection in list(self.registry.connections):
+            connection.abort()
+
     def stop_accepting(self) -> None:
         """Take no new connections."""
         if self._server is not None:
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -32,8 +32,6 @@
 
 logger = logging.getLogger(__name__)
 
-METRICS_PORT = 9464
-"""Port of the metrics; the deploy file names the same."""
 DIRECTORY_TTL_S = 1.5
 """Time that clients keep an answer of the directory, in s; some keep it three
 times as long, which is when a leaving host stops to accept."""
@@ -57,12 +55,14 @@
     """Owns the tasks and listeners of a host.
 
     :param settings: settings of the host.
+    :param metrics_port: port of the metrics, 0 for a free one.
     :param settings_path: file that they come from, looked at again and again.
     :param stop_requested: set when the process is to leave.
     :param reload_requested: set when the settings file is to be read.
     """
 
     settings: HostSettings
+    metrics_port: int = 0
     settings_path: Path | None = None
     stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
     reload_requested: asyncio.Event = field(default_factory=asyncio.Event)
@@ -141,11 +141,16 @@
             ),
             Listener(
                 name="metrics",
-                address=f"{settings.ip}:{METRICS_PORT}",
+                address=f"{settings.ip}:{self.metrics_port}",
                 handler=self._answer_metrics,
             ),
         ]
 
+    @property
+    def metrics_address(self) -> str:
+        """Address of the metrics."""
+        return self._others[-1].bound_address
+
     @property
     def ready(self) -> bool:
         """Whether clients may be sent to this host."""
@@ -186,8 +191,10 @@
                 task.result()
             await self._leave()
         finally:
-            for task in (stopping, *tasks):
+            for task in (stopping, *tasks, *self.state.background):
                 task.cancel()
+            for listener in (*self._others, self._clients):
+                listener.close()
             self._peers.close()
 
     async def _leave(self) -> None:
@@ -314,15 +321,19 @@
 async def run_host(
     *,
     settings: HostSettings,
+    metrics_port: int,
     settings_path: Path | None,
     watch_signals: Callable[[HostProcess], Awaitable[None] | None],
 ) -> None:
     """Run a host until it is asked to stop.
 
     :param settings: settings of the host.
+    :param metrics_port: port of the metrics.
     :param settings_path: file that they come from.
     :param watch_signals: connects signals of the process to the host's events.
     """
-    process = HostProcess(settings=settings, settings_path=settings_path)
+    process = HostProcess(
+        settings=settings, metrics_port=metrics_port, settings_path=settings_path
+    )
     watch_signals(process)
     await process.run()
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -169,6 +169,36 @@
                 plans.append(replace(plan, cost_s=cost_s))
         return min(plans, key=lambda plan: plan.cost_s, default=None)
 
+    def plan_transfer(
+        self,
+        job: PromptJob,
+        reader: EngineAccount,
+        accounts: Sequence[EngineAccount],
+        *,
+        now_s: float,
+        avoided: Collection[str] = (),
+        burdens: dict[str, Burden] | None = None,
+    ) -> SplitPlan | None:
+        """Return where a prompt that was read goes on, None where no engine can.
+
+        :param reader: engine that has read it.
+        """
+        runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
+        known = burdens or {}
+        plans = [
+            self._split(
+                job,
+                reader,
+                runner,
+                None,
+                0,
+                known.get(runner.entry.instance, _NO_BURDEN),
+                now_s,
+            )
+            for runner in runners
+        ]
+        return min(plans, key=lambda plan: plan.cost_s, default=None)
+
     def _direct(
         self,
         job: PromptJob,
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lacewinglug.host.answers import Reason, Refusal, not_run
 from lacewinglug.host.calls import (
@@ -76,6 +76,22 @@
     rank: int = 5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _EngineView:
+    """What is known of the engines of a service at a moment.
+
+    :param now_s: the moment.
+    :param accounts: engines that take new work.
+    :param avoided: engines to use only where there is no other.
+    :param burdens: streams and failures, by instance.
+    """
+
+    now_s: float
+    accounts: Sequence[EngineAccount]
+    avoided: set[str]
+    burdens: dict[str, Burden]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Finished:
     """The stream is whole."""
@@ -133,34 +149,49 @@
                 return self._give_up(context, progress, Reason.REJECTED)
 
     def _plan(self, context: RequestContext, progress: _Progress) -> PromptPlan | None:
+        view = self._view(context)
+        job = _job(context, view)
+        progress.rank = job.priority
+        plan = self._planner(context).plan(
+            job,
+            view.accounts,
+            now_s=view.now_s,
+            avoided=view.avoided,
+            burdens=view.burdens,
+            allow_split=not progress.split_failed,
+        )
+        if plan is not None:
+            context.story.add("place", now_s=view.now_s, **_describe(plan))
+        return plan
+
+    def _view(self, context: RequestContext) -> _EngineView:
+        """Return what is known of the engines now."""
         now_s = self.state.now_s()
         profile = context.service.engine or EngineProfile()
         entries = self.state.fleet.ready(context.service.name)
         accounts = self.state.engines.accounts(entries, profile)
-        job = _job(context, accounts, now_s=now_s)
-        progress.rank = job.priority
-        health = self.state.upstreams.health
-        blocked = {
-            entry.instance
-            for entry in entries
-            if entry.instance in context.tried or health(entry.instance).blocked(now_s)
-        }
-        blocked.update(
-            account.entry.instance
-            for account in accounts
-            if account.switching_until_s > now_s
-        )
-        plan = self._planner(context, profile).plan(
-            job,
-            accounts,
+        return _EngineView(
             now_s=now_s,
-            avoided=blocked,
+            accounts=accounts,
+            avoided=self._avoided(context, accounts, now_s),
             burdens=self._burdens(entries, now_s),
-            allow_split=not progress.split_failed,
         )
-        if plan is not None:
-            context.story.add("place", now_s=now_s, **_describe(plan))
-        return plan
+
+    def _avoided(
+        self,
+        context: RequestContext,
+        accounts: Sequence[EngineAccount],
+        now_s: float,
+    ) -> set[str]:
+        """Return the engines to use only where there is no other."""
+        health = self.state.upstreams.health
+        return {
+            account.entry.instance
+            for account in accounts
+            if account.entry.instance in context.tried
+            or account.switching_until_s > now_s
+            or health(account.entry.instance).blocked(now_s)
+        }
 
     def _burdens(
         self, entries: Sequence[RunnerEntry], now_s: float
@@ -175,9 +206,8 @@
             )
         return burdens
 
-    def _planner(
-        self, context: RequestContext, profile: EngineProfile
-    ) -> PromptPlanner:
+    def _planner(self, context: RequestContext) -> PromptPlanner:
+        profile = context.service.engine or EngineProfile()
         planner = self._planners.get(context.service.name)
         if planner is None or planner.profile != profile:
             planner = PromptPlanner(
@@ -201,12 +231,12 @@
     ) -> _Finished | _Failed | Response:
         match plan:
             case SplitPlan():
-                source = await self._prefill(context, progress, plan)
-                if source is None:
+                handle = await self._prefill(context, progress, plan)
+                if handle is None:
                     progress.split_failed = True
                     return _Failed(reason="prefill failed")
                 return await self._stream_from_handle(
-                    context, progress, plan, exchange, source
+                    context, progress, plan, exchange, handle
                 )
             case DirectPlan():
                 self._book(
@@ -272,12 +302,16 @@
         exchange: Exchange,
         handle: str,
     ) -> _Finished | _Failed | Response:
-        self._book(context, progress, plan.runner, 0.0, _shared(context))
         source = f"{plan.reader.entry.address}/{handle}"
         result: _Finished | _Failed | Response | None = None
         try:
+            transfer = self._plan_transfer(context, progress, plan)
+            if transfer is None:
+                result = _Failed(reason="no engine streams")
+                return result
+            self._book(context, progress, transfer.runner, 0.0, _shared(context))
             result = await self._stream(
-                context, progress, plan, exchange, cache_source=source
+                context, progress, transfer, exchange, cache_source=source
             )
         finally:
             if not isinstance(result, _Finished):
@@ -285,6 +319,28 @@
                 progress.split_failed = True
         return result
 
+    def _plan_transfer(
+        self, context: RequestContext, progress: _Progress, plan: SplitPlan
+    ) -> SplitPlan | None:
+        """Choose the engine that streams anew: reading may have taken seconds."""
+        view = self._view(context)
+        job = replace(_job(context, view), priority=progress.rank)
+        transfer = self._planner(context).plan_transfer(
+            job,
+            plan.reader,
+            view.accounts,
+            now_s=view.now_s,
+            avoided=view.avoided,
+            burdens=view.burdens,
+        )
+        if transfer is not None and transfer.runner is not plan.runner:
+            context.story.add(
+                "transfer",
+                now_s=view.now_s,
+                runner=transfer.runner.entry.instance,
+            )
+        return transfer
+
     async def _stream(
         self,
         context: RequestContext,
@@ -553,15 +609,12 @@
             context.story.add("free", now_s=self.state.now_s(), result=str(error))
 
 
-def _job(
-    context: RequestContext, accounts: Sequence[EngineAccount], *, now_s: float
-) -> PromptJob:
+def _job(context: RequestContext, view: _EngineView) -> PromptJob:
     parts = _shared(context)
     tokens = max(1, _prompt(context).prompt_tokens)
-    _, held = find_holder(accounts, parts, now_s=now_s)
+    _, held = find_holder(view.accounts, parts, now_s=view.now_s)
     reading_s = max(0, tokens - held) / PREFILL_TOKENS_S
-    late_s = context.request.received_s + context.route.target_latency_s
-    rank = choose_rank(left_s=late_s - now_s, reading_s=reading_s)
+    rank = choose_rank(left_s=context.late_at_s - view.now_s, reading_s=reading_s)
     return PromptJob(parts=parts, tokens=tokens, priority=rank)
 
 
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -28,8 +28,10 @@
 RUNNERS_EVERY_S = 0.8
 """Time between reads of the runners, in s; a third of the shortest time after
 which a leaving runner may get no request."""
-CONFIGURATION_WAIT_S = 6.0
-"""Longest wait of the store for a new configuration, in s."""
+CONFIGURATION_WAIT_S = 2.0
+"""Longest wait of the store for a new configuration, in s; a connection that has
+gone silent is found after this and the store's timeout, which together are
+shorter than the four seconds after which the rules bind a host again."""
 HOSTS_EVERY_S = 15.0
 """Time between reads of the registered hosts, in s; beats find new ones sooner."""
 FIRST_RETRY_S = 0.25
--- a/lacewinglug/platform/store.py
+++ b/lacewinglug/platform/store.py
@@ -16,10 +16,11 @@
 
 MOST_CONNECTIONS = 4
 """Connections of one host to the store; no more calls run at once."""
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.8
 """Longest time to connect to the store, in s."""
-CALL_TIMEOUT_S = 1.5
-"""Longest time for an answer, in s; a usual one takes 4 ms."""
+CALL_TIMEOUT_S = 0.8
+"""Longest time for an answer, in s; a usual one takes 4 ms, one of a slow store
+a quarter of a second. Two in a row fit into the shortest drain bound."""
 MOST_ANSWER_BYTES = 8_388_608
 """Longest answer of the store that is read."""
 _OK = 200
--- a/lacewinglug/ui/host.py
+++ b/lacewinglug/ui/host.py
@@ -25,8 +25,22 @@
     help="Settings file of this host; found by the environment where not given.",
 )
 @click.option("--check", is_flag=True, help="Check the settings file and end.")
-@click.option("--log-level", default="INFO", show_default=True)
-def host(settings_path: Path | None, check: bool, log_level: str) -> None:
+@click.option(
+    "--metrics-port",
+    type=click.IntRange(1, 65535),
+    default=9464,
+    show_default=True,
+    help="Port of this host that serves metrics as text.",
+)
+@click.option(
+    "--log-level",
+    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
+    default="INFO",
+    show_default=True,
+)
+def host(
+    settings_path: Path | None, check: bool, metrics_port: int, log_level: str
+) -> None:
     """Serve clients, readiness and directory on this host."""
     path = settings_path or find_settings_path()
     settings = load_settings(path)
@@ -40,7 +54,10 @@
     try:
         asyncio.run(
             run_host(
-                settings=settings, settings_path=path, watch_signals=_watch_signals
+                settings=settings,
+                metrics_port=metrics_port,
+                settings_path=path,
+                watch_signals=_watch_signals,
             )
         )
     finally:
--- a/tests/host/test_prompts.py
+++ b/tests/host/test_prompts.py
@@ -119,3 +119,15 @@
                 )
             read += plan.new_tokens
     assert read == 40 * 17_000 + 80 * 4_000
+
+
+def test_a_prompt_that_was_read_goes_on_where_there_is_room_now():
+    fleet = Fleet()
+    reader = fleet.accounts()[0]
+    near = fleet.planner.plan_transfer(LONG, reader, fleet.accounts(), now_s=1.0)
+    assert near.runner.entry.instance == "run-mtl"
+    fleet.work("run-mtl", seconds=3.0)
+    far = fleet.planner.plan_transfer(LONG, reader, fleet.accounts(), now_s=1.0)
+    assert far.runner.entry.instance == "run-qc"
+    readers = [item for item in fleet.accounts() if item.entry.stage is Stage.PREFILL]
+    assert fleet.planner.plan_transfer(LONG, reader, readers, now_s=1.0) is None
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,289 @@
+"""Stand-ins of the platform's store and runners, for tests without the bench."""
+
+import asyncio
+import base64
+import itertools
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from lacewinglug.wire.messages import Response, first_header
+from lacewinglug.wire.server import ConnectionRegistry
+
+JSON = ((b"Content-Type", b"application/json"),)
+
+
+def json_response(body, status=200):
+    """Return a JSON answer."""
+    return Response(status=status, headers=JSON, body=json.dumps(body).encode())
+
+
+class Listener:
+    """Listens on loopback with the project's own server connections."""
+
+    def __init__(self):
+        self.registry = ConnectionRegistry(handler=self.handle, limits=self.limits)
+
+    @staticmethod
+    def limits():
+        from lacewinglug.wire.server import ClientLimits
+
+        return ClientLimits(idle_timeout_s=60.0)
+
+    async def open(self, ip="127.0.0.1"):
+        """Listen on a free port."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.registry.make_connection, ip, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{ip}:{port}"
+        return self
+
+    def close(self):
+        """Stop at once, as a crash does."""
+        self.server.close()
+        for connection in list(self.registry.connections):
+            connection.abort()
+
+
+class StoreStandin(Listener):
+    """The metadata store: a log with keyed topics.
+
+    ``down`` makes it refuse; ``silent`` makes it not answer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.topics = {}
+        self.down = False
+        self.silent = False
+        self.calls = []
+        self.changed = asyncio.Condition()
+
+    async def put(self, topic, key, value):
+        """Write a keyed record, as the operator or a runner does."""
+        await self.append(topic, encode_keyed(key, json.dumps(value).encode()))
+
+    async def drop(self, topic, key):
+        """Drop a key."""
+        await self.append(topic, encode_keyed(key, b""))
+
+    async def append(self, topic, *records):
+        """Append records and wake readers."""
+        async with self.changed:
+            self.topics.setdefault(topic, []).extend(records)
+            self.changed.notify_all()
+
+    async def handle(self, request, exchange):
+        """Answer one call."""
+        parts = urlsplit(request.target.decode())
+        query = {key: value[0] for key, value in parse_qs(parts.query).items()}
+        self.calls.append(parts.path)
+        if self.silent:
+            await asyncio.sleep(600)
+        if self.down:
+            await exchange.respond(Response(status=503))
+            return
+        topic = query["Topic"]
+        match parts.path:
+            case "/-/log-newest":
+                response = self.newest(topic)
+            case "/-/log-read":
+                response = await self.read(topic, query)
+            case "/-/log-append":
+                response = await self.take(topic, query, request.body)
+            case _:
+                response = Response(status=404)
+        await exchange.respond(response)
+
+    def newest(self, topic):
+        newest = {}
+        records = self.topics.get(topic, [])
+        for offset, record in enumerate(records):
+            key, value = decode_keyed(record)
+            newest.pop(key, None)
+            if value:
+                newest[key] = {
+                    "Key": key,
+                    "Value": base64.b64encode(value).decode(),
+                    "Offset": offset,
+                }
+        return json_response(
+            {"items": list(newest.values()), "MorePages": False, "End": len(records)}
+        )
+
+    async def read(self, topic, query):
+        start = int(query["From"])
+        wait_s = int(query.get("WaitMs", 0)) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                await self.changed.wait_for(
+                    lambda: len(self.topics.get(topic, [])) > start
+                )
+        except TimeoutError:
+            pass
+        records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), 0)
+        for record in records[start:]:
+            body += struct.pack(">I", len(record)) + record
+        return Response(status=200, body=body)
+
+    async def take(self, topic, query, body):
+        records = self.topics.setdefault(topic, [])
+        if "At" in query and int(query["At"]) != len(records):
+            return json_response({"End": len(records)}, status=412)
+        offset = len(records)
+        place = 0
+        while place < len(body):
+            (length,) = struct.unpack_from(">I", body, place)
+            await self.append(topic, body[place + 4 : place + 4 + length])
+            place += 4 + length
+        return json_response({"Offset": offset, "End": len(records)})
+
+
+class RunnerStandin(Listener):
+    """A runner: a plain service, or an engine of one stage.
+
+    :param mode: ``serve``, ``reject``, ``fail``, ``cut``, ``hang``, ``stray`` or
+        ``unsigned``; read anew for each request.
+    :param events: events of each stream.
+    """
+
+    def __init__(self, instance, service, *, zone="mtl-a", stage=None, events=3):
+        super().__init__()
+        self.instance = instance
+        self.service = service
+        self.zone = zone
+        self.stage = stage
+        self.events = events
+        self.mode = "serve"
+        self.runs = []
+        self.prefills = []
+        self.freed = []
+        self.orders = []
+        self.left = 0
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.handles = itertools.count(1)
+
+    def entry(self, state="ready"):
+        """Return what it registers."""
+        entry = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 6,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            "born": 1,
+        }
+        return entry | ({"Stage": self.stage} if self.stage else {})
+
+    async def handle(self, request, exchange):
+        """Answer one request."""
+        path = request.target.decode()
+        if path.startswith("/-/kv-handle/"):
+            self.freed.append(path.rpartition("/")[2])
+            await exchange.respond(Response(status=200))
+        elif path == "/-/report":
+            await exchange.respond(
+                json_response(
+                    {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
+                )
+            )
+        elif path == "/-/order":
+            self.orders.append(json.loads(request.body))
+            await exchange.respond(Response(status=202))
+        else:
+            await self.run(request, exchange)
+
+    async def run(self, request, exchange):
+        expected = first_header(request.headers, b"x-lacewinglug-expect-instance")
+        if expected != self.instance.encode():
+            await exchange.respond(self.answer(request, 421, rejected=True))
+            return
+        if self.mode == "reject":
+            await exchange.respond(self.answer(request, 503, rejected=True))
+            return
+        if first_header(request.headers, b"x-lacewinglug-stage") == b"prefill":
+            await self.prefill(request, exchange)
+            return
+        self.runs.append(request)
+        try:
+            await self.serve(request, exchange)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+
+    async def prefill(self, request, exchange):
+        self.prefills.append(request)
+        await self.may_answer.wait()
+        body = {
+            "TransferHandle": f"h{next(self.handles)}",
+            "Tokens": 10,
+            "Version": 1,
+        }
+        answer = self.answer(request, 200)
+        await exchange.respond(
+            Response(status=200, headers=answer.headers, body=json.dumps(body).encode())
+        )
+
+    async def serve(self, request, exchange):
+        match self.mode:
+            case "hang":
+                await asyncio.sleep(600)
+            case "fail":
+                await exchange.respond(self.answer(request, 500))
+            case "cut" if self.stage is None:
+                await exchange.start(200, self.headers(request))
+                await exchange.write(b"do")
+                exchange.abort()
+            case "unsigned":
+                await exchange.respond(Response(status=200, body=b"done"))
+            case "stray":
+                self.mode = "serve"
+                await exchange.respond(self.answer(request, 200, own_id=b"other"))
+            case _ if self.stage is None:
+                await exchange.respond(self.answer(request, 200))
+            case _:
+                await self.stream(request, exchange)
+
+    async def stream(self, request, exchange):
+        last = int(first_header(request.headers, b"last-event-id") or 0)
+        await exchange.start(200, self.headers(request))
+        for number in range(last + 1, self.events + 1):
+            if self.mode == "cut" and number == 2:
+                await exchange.write(b"id: 2\ndata: ha")
+                await asyncio.sleep(0.02)
+                exchange.abort()
+                return
+            if self.mode == "stall" and number == 2:
+                await asyncio.sleep(600)
+            await exchange.write(b"id: %d\ndata: w%d\n\n" % (number, number))
+        await exchange.finish()
+
+    def headers(self, request, own_id=None):
+        found = first_header(request.headers, b"x-lacewinglug-request-id")
+        return (
+            (b"X-Lacewinglug-Request-Id", own_id or found or b""),
+            (b"X-Lacewinglug-Response-Signature", self.instance.encode()),
+            (b"X-Lacewinglug-Server-Load", b"1,0,6,100"),
+        )
+
+    def answer(self, request, status, *, rejected=False, own_id=None):
+        headers = self.headers(request, own_id)
+        if rejected:
+            headers += ((b"X-Lacewinglug-Not-Executed", b"1"),)
+        return Response(status=status, headers=headers, body=b"done")
+
+
+def encode_keyed(key, value):
+    """Return a keyed record."""
+    return struct.pack(">B", len(key)) + key.encode() + value
+
+
+def decode_keyed(record):
+    """Return the key and value of a keyed record."""
+    length = record[0]
+    return record[1 : 1 + length].decode(), record[1 + length :]
