--- /dev/null
+++ b/tests/host/test_steward.py
@@ -0,0 +1,42 @@
+"""Orders are given by one host, after a report, and not again in doubt."""
+
+import asyncio
+import contextlib
+import json
+
+from lacewinglug.host.process import HostProcess
+from lacewinglug.platform.settings import decode_settings
+from tests.platform.scene import Scene
+from tests.platform.standin import RunnerStandin
+
+
+async def test_a_fleet_far_from_its_plan_gets_fenced_orders(monkeypatch):
+    monkeypatch.setattr("lacewinglug.host.steward.SETTLE_S", 0.05)
+    monkeypatch.setattr("lacewinglug.host.steward.STABLE_S", 0.05)
+    monkeypatch.setattr("lacewinglug.host.steward.PLAN_EVERY_S", 0.05)
+    monkeypatch.setattr("lacewinglug.host.tenure.CLAIM_MARGIN_S", 0.0)
+    engines = [
+        RunnerStandin(f"e-{number}", "llm", stage="decode") for number in range(4)
+    ]
+    scene = await Scene().open(*engines)
+    scene.settings["Bounds"]["LeaseMs"] = 50
+    settings = decode_settings(json.dumps(scene.settings).encode())
+    process = HostProcess(settings=settings)
+    task = asyncio.create_task(process.run())
+    try:
+        async with asyncio.timeout(40):
+            while sum(len(engine.orders) for engine in engines) < 2:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.5)
+        orders = [order for engine in engines for order in engine.orders]
+        assert [len(engine.orders) for engine in engines].count(1) == 2
+        assert {order["Stage"] for order in orders} == {"prefill"}
+        assert {order["FencingToken"] for order in orders} == {1}
+        assert {order["Precondition"] for order in orders} == {0}
+        assert {order["Holder"] for order in orders} == {"edge-1"}
+        assert len(scene.store.topics["claims"]) == 1
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        scene.close()
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,132 @@
+"""Headers of the platform are decoded once, and only the system's own are set."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewinglug.host.model import PromptPart, UpstreamCall
+from lacewinglug.platform.headers import (
+    UnreadableRequestError,
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+from lacewinglug.wire.messages import Request
+
+SET_BY_SYSTEM = [
+    b"X-Lacewinglug-Expect-Instance",
+    b"X-Lacewinglug-Expect-Version",
+    b"X-Lacewinglug-Kv-Backup",
+    b"X-Lacewinglug-Kv-Hold",
+    b"X-Lacewinglug-Kv-Source",
+    b"X-Lacewinglug-Pin-Ms",
+    b"X-Lacewinglug-Request-Priority",
+    b"X-Lacewinglug-Stage",
+    b"Kv-Fetch",
+]
+
+
+def make_request(*headers, target=b"/a/b?c=d"):
+    return Request(
+        method=b"POST", target=target, headers=((b"Host", b"A.example:80"), *headers)
+    )
+
+
+def test_a_prompt_is_decoded_part_by_part():
+    facts = decode_request(
+        make_request(
+            (b"X-Lacewinglug-Request-Id", b"9c41"),
+            (b"X-Lacewinglug-Deadline-Ms", b"5000"),
+            (b"X-Lacewinglug-Model", b"m"),
+            (b"X-Lacewinglug-Token-Count", b"1460,80"),
+            (b"X-Lacewinglug-Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+            (b"Last-Event-Id", b"12"),
+        )
+    )
+    assert (facts.request_id, facts.host, facts.path) == ("9c41", "a.example", "/a/b")
+    assert (facts.deadline_s, facts.last_event) == (5.0, 12)
+    assert (facts.prompt.prompt_tokens, facts.prompt.output_tokens) == (1460, 80)
+    assert facts.prompt.parts[1] == PromptPart(part_id="91bd", tokens=410)
+
+
+@given(value=st.binary(max_size=30))
+def test_no_header_of_a_client_ends_in_an_error_of_another_kind(value):
+    for name in (
+        b"X-Lacewinglug-Deadline-Ms",
+        b"X-Lacewinglug-Token-Count",
+        b"X-Lacewinglug-Prompt-Prefix",
+        b"X-Lacewinglug-Request-Id",
+    ):
+        facts = decode_request(
+            make_request((b"X-Lacewinglug-Model", b"m"), (name, value))
+        )
+        assert facts.host == "a.example"
+
+
+def test_two_different_ids_are_refused():
+    name = b"X-Lacewinglug-Request-Id"
+    with pytest.raises(UnreadableRequestError, match="send one"):
+        decode_request(make_request((name, b"a"), (name, b"b")))
+    assert decode_request(make_request((name, b"a"), (name, b"a"))).request_id == "a"
+
+
+@pytest.mark.parametrize("name", SET_BY_SYSTEM)
+def test_what_only_the_system_sets_is_taken_out(name):
+    for spelled in (name, name.lower(), name.upper()):
+        request = make_request((spelled, b"forged"))
+        headers = encode_request(request, UpstreamCall(instance="i-1", deadline_s=None))
+        assert b"forged" not in [value for _, value in headers]
+
+
+def test_what_the_system_adds():
+    call = UpstreamCall(
+        instance="i-1",
+        deadline_s=0.25,
+        priority=3,
+        prefill_only=True,
+        cache_source="10.0.0.1:80/h",
+        fetch_from="10.0.0.2:80",
+        last_event=7,
+    )
+    request = make_request(
+        (b"X-Lacewinglug-Deadline-Ms", b"5000"), (b"Last-Event-Id", b"2")
+    )
+    headers = dict(encode_request(request, call))
+    assert headers == {
+        b"Host": b"A.example:80",
+        b"X-Lacewinglug-Expect-Instance": b"i-1",
+        b"X-Lacewinglug-Deadline-Ms": b"250",
+        b"X-Lacewinglug-Request-Priority": b"3",
+        b"X-Lacewinglug-Stage": b"prefill",
+        b"X-Lacewinglug-Kv-Source": b"10.0.0.1:80/h",
+        b"Kv-Fetch": b"10.0.0.2:80",
+        b"Last-Event-Id": b"7",
+    }
+
+
+def test_the_request_id_cannot_be_taken_out_by_a_connection_header():
+    name = b"X-Lacewinglug-Request-Id"
+    request = make_request((name, b"a"), (b"Connection", name))
+    headers = encode_request(request, UpstreamCall(instance="i-1", deadline_s=None))
+    assert (name, b"a") in headers
+
+
+def test_an_answer_is_decoded_and_its_inner_headers_stay_behind():
+    headers = (
+        (b"X-Lacewinglug-Request-Id", b"9c41"),
+        (b"X-Lacewinglug-Response-Signature", b"s"),
+        (b"X-Lacewinglug-Server-Load", b"3,1,8,250"),
+        (b"X-Lacewinglug-Not-Executed", b"1"),
+        (b"X-Lacewinglug-Weight-Versions", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+    )
+    facts = decode_answer(headers)
+    assert (facts.request_id, facts.signed, facts.not_executed) == ("9c41", True, True)
+    assert (facts.load.running, facts.load.waiting, facts.load.slowness) == (3, 1, 2.5)
+    assert encode_answer(headers) == (headers[0], headers[1], headers[4])
+
+
+@pytest.mark.parametrize("load", [b"", b"3", b"a,b,c", b"3,1,8,x"])
+def test_an_unreadable_load_is_left_out(load):
+    assert decode_answer(((b"X-Lacewinglug-Server-Load", load),)).load is None
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,116 @@
+"""Records of the operator and of runners are read whole, or left out by name."""
+
+import json
+
+import pytest
+
+from lacewinglug.host.model import OrderReply, Repeat, Share, Stage, StageOrder
+from lacewinglug.platform.calls import (
+    decode_order_reply,
+    decode_prefill,
+    decode_report,
+    encode_order,
+)
+from lacewinglug.platform.records import (
+    RecordError,
+    decode_configuration,
+    decode_runner,
+)
+from tests.platform.scene import make_configuration, make_route
+
+RUNNER = {
+    "Service": "llm",
+    "Address": "10.0.0.1:80",
+    "Zone": "mtl-a",
+    "Version": "v1",
+    "Slots": 128,
+    "State": "ready",
+    "ColdRemainingMs": 500,
+    "Stage": "prefill",
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_is_decoded_into_units_of_its_names():
+    split = [{"Service": "app", "Weight": 90}, {"Service": "llm", "Weight": 10}]
+    route = make_route("ask", "streaming", "", Resumable=True, TrafficSplit=split)
+    found = decode_configuration(encode(make_configuration(7, [route])))
+    (decoded,) = found.routes
+    assert (found.version, decoded.repeat) == (7, Repeat.STREAM)
+    assert (decoded.timeout_s, decoded.target_gap_s) == (2.0, 0.4)
+    assert decoded.shares[1] == Share(service="llm", weight=10)
+    assert decoded.idempotent
+    engine = found.services["llm"].engine
+    assert engine.link_bytes_s == 46.25e9
+    assert found.services["app"].engine is None
+    assert found.limits.header_timeout_s == 3.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Version": "seven"},
+        {"Routes": [{"Name": "r"}]},
+        {"Routes": [make_route("r", "sometimes", "app")]},
+    ],
+)
+def test_a_wrong_configuration_is_refused(change):
+    with pytest.raises(RecordError, match="configuration"):
+        decode_configuration(encode(make_configuration() | change))
+
+
+def test_a_runner_is_decoded():
+    entry = decode_runner("i-1", encode(RUNNER))
+    assert (entry.stage, entry.cold_s, entry.draining) == (Stage.PREFILL, 0.5, False)
+    assert entry.born_ms == RUNNER["born"]
+    draining = decode_runner("i-1", encode(RUNNER | {"State": "draining"}))
+    assert draining.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Slots": "six"},
+        {"Slots": 0},
+        {"State": "asleep"},
+        {"Address": "nowhere"},
+        {"Zone": None},
+        {"born": 1.5},
+    ],
+)
+def test_a_wrong_entry_names_its_runner(change):
+    with pytest.raises(RecordError, match="i-1"):
+        decode_runner("i-1", encode(RUNNER | change))
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"\xff\xfe", b"[]", b"null"])
+def test_unreadable_bytes_are_refused(data):
+    with pytest.raises(RecordError):
+        decode_runner("i-1", data)
+    with pytest.raises(RecordError):
+        decode_configuration(data)
+
+
+def test_reports_orders_and_handles():
+    report = decode_report(encode({"Stage": "decode", "Busy": True, "Sequence": 2}))
+    assert (report.stage, report.busy, report.orders) == (Stage.DECODE, True, 2)
+    assert decode_report(b"{}") is None
+    order = StageOrder(
+        stage=Stage.PREFILL, holder="edge-1", fencing_number=41, after_orders=2
+    )
+    assert json.loads(encode_order(order)) == {
+        "Op": "Stage",
+        "Stage": "prefill",
+        "Holder": "edge-1",
+        "FencingToken": 41,
+        "Precondition": 2,
+    }
+    assert decode_order_reply(412) is OrderReply.FENCED
+    assert decode_order_reply(500) is OrderReply.REFUSED
+    assert decode_prefill(encode({"TransferHandle": "h", "Tokens": 9})).handle == "h"
+    assert decode_prefill(b"not json") is None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,71 @@
+"""The client of the store reads whole pages and reports every failure."""
+
+import asyncio
+
+import pytest
+
+from lacewinglug.platform.store import StoreClient, StoreError
+from tests.platform.standin import StoreStandin
+
+
+@pytest.fixture
+async def store():
+    standin = await StoreStandin().open()
+    yield standin
+    standin.close()
+
+
+async def test_the_newest_value_of_each_key(store):
+    client = StoreClient(address=store.address)
+    await client.put("keyed.hosts", key="a", value=b"1")
+    await client.put("keyed.hosts", key="b", value=b"2")
+    await client.put("keyed.hosts", key="a", value=b"3")
+    await client.put("keyed.hosts", key="b", value=b"")
+    snapshot = await client.read_newest("keyed.hosts")
+    assert (snapshot.values, snapshot.end_offset) == ({"a": b"3"}, 4)
+
+
+async def test_a_conditional_append_holds_only_at_the_end(store):
+    client = StoreClient(address=store.address)
+    assert await client.append_at("claims", b"x", offset=0)
+    assert not await client.append_at("claims", b"y", offset=0)
+    assert await client.append_at("claims", b"y", offset=1)
+    assert await client.read_records("claims", from_offset=1) == ([b"y"], 2)
+
+
+async def test_a_wait_ends_with_the_next_record(store):
+    client = StoreClient(address=store.address)
+    assert not await client.wait_for_records("t", from_offset=0, wait_s=0.05)
+    waiting = asyncio.create_task(
+        client.wait_for_records("t", from_offset=0, wait_s=30.0)
+    )
+    while store.calls.count("/-/log-read") < 2:
+        await asyncio.sleep(0.01)
+    await store.append("t", b"new")
+    assert await waiting
+
+
+async def test_refusals_silence_and_absence_are_errors(store, monkeypatch):
+    client = StoreClient(address=store.address)
+    store.down = True
+    with pytest.raises(StoreError, match="503"):
+        await client.read_newest("keyed.op")
+    store.down, store.silent = False, True
+    monkeypatch.setattr("lacewinglug.platform.store.CALL_TIMEOUT_S", 0.05)
+    with pytest.raises(StoreError, match="in time"):
+        await client.read_newest("keyed.op")
+    store.close()
+    with pytest.raises(StoreError, match="reached"):
+        await StoreClient(address=store.address).read_newest("keyed.op")
+
+
+async def test_the_client_works_again_after_an_outage(store, monkeypatch):
+    monkeypatch.setattr("lacewinglug.platform.store.CALL_TIMEOUT_S", 0.05)
+    client = StoreClient(address=store.address)
+    store.silent = True
+    for _ in range(6):
+        with pytest.raises(StoreError):
+            await client.read_newest("keyed.op")
+    store.silent = False
+    monkeypatch.setattr("lacewinglug.platform.store.CALL_TIMEOUT_S", 20.0)
+    assert (await client.read_newest("keyed.op")).values == {}
