--- a/lacewinglug/ui/__init__.py
+++ b/lacewinglug/ui/__init__.py
@@ -19,6 +19,7 @@
     "load": "load",
     "report": "report",
     "host": "host",
+    "explain": "explain",
     "completion": "completion",
 }
 
