--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -21,13 +21,21 @@
 from lacewinglug.host.reporting import HostMetrics, RequestStory
 from lacewinglug.host.routes import RouteTable
 from lacewinglug.host.upstreams import Upstreams
-from lacewinglug.platform.headers import decode_answer, encode_request
+from lacewinglug.platform.headers import (
+    decode_answer,
+    encode_request,
+    instance_headers,
+)
 from lacewinglug.wire.client import ClientConnection, UpstreamError
 from lacewinglug.wire.messages import Request, Response, ResponseHead
 from lacewinglug.wire.pool import ConnectionPool
 
 CONNECT_TIMEOUT_S = 0.5
 """Longest time to connect to a runner, in s; ten round trips between regions."""
+ENGINE_CALL_TIMEOUT_S = 1.0
+"""Longest time for an engine's answer to a call of the host itself, in s."""
+MOST_CALL_BYTES = 1_048_576
+"""Longest such answer; a list of cached parts is the longest."""
 STRAY_ANSWERS = 2
 """Answers to earlier requests that are stepped over on one connection."""
 
@@ -71,6 +79,37 @@
             self._budgets[service] = found
         return found
 
+    async def call_engine(
+        self,
+        service: Service,
+        entry: RunnerEntry,
+        *,
+        target: bytes,
+        method: bytes = b"GET",
+        body: bytes = b"",
+    ) -> Response:
+        """Call an engine on the host's own behalf.
+
+        :raises UpstreamError: there is no whole answer.
+        :raises TimeoutError: there is none in time.
+        """
+        pool = self.upstreams.pool(entry, service)
+        async with asyncio.timeout(ENGINE_CALL_TIMEOUT_S):
+            connection = await pool.acquire(timeout_s=ENGINE_CALL_TIMEOUT_S)
+            try:
+                connection.send_request(
+                    method=method,
+                    target=target,
+                    headers=instance_headers(entry.address, entry.instance),
+                    body=body,
+                )
+                response = await connection.read_whole(most_bytes=MOST_CALL_BYTES)
+            except BaseException:
+                pool.drop(connection)
+                raise
+        pool.release(connection, response.headers)
+        return response
+
     def own_streams(self) -> dict[str, int]:
         """Return how many streams this host runs at each engine."""
         counts = {}
--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from lacewinglug.host.backlog import ReadingBacklog
+from lacewinglug.host.backlog import PRIORITIES, ReadingBacklog
 from lacewinglug.host.model import EngineProfile, RunnerEntry, Stage
-from lacewinglug.host.residency import ChainedPart, Residency
+from lacewinglug.host.residency import KeyedPart, Residency
 
 PREFILL_TOKENS_S = 95_000.0
 """Rate of reading on engines of stage prefill, in tokens a second; from the
@@ -80,7 +80,7 @@
     instance: str
     priority: int
     work_s: float
-    parts: tuple[ChainedPart, ...]
+    parts: tuple[KeyedPart, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -137,6 +137,18 @@
         if account is not None:
             account.switching_until_s = until_s
 
+    def known_work(self) -> list[EngineWork]:
+        """Return what all engines keep, as work that takes no time."""
+        return [
+            EngineWork(
+                instance=instance,
+                priority=PRIORITIES - 1,
+                work_s=0.0,
+                parts=account.residency.parts,
+            )
+            for instance, account in self._accounts.items()
+        ]
+
     def forget_gone(self, kept: Iterable[str]) -> None:
         """Drop the accounts of engines that have left."""
         names = set(kept)
@@ -157,7 +169,7 @@
 
 
 def find_holder(
-    accounts: Sequence[EngineAccount], parts: Sequence[ChainedPart], *, now_s: float
+    accounts: Sequence[EngineAccount], parts: Sequence[KeyedPart], *, now_s: float
 ) -> tuple[EngineAccount | None, int]:
     """Return the engine that has the most of a prompt now, and how many tokens."""
     best: EngineAccount | None = None
--- a/lacewinglug/host/model.py
+++ b/lacewinglug/host/model.py
@@ -173,6 +173,18 @@
     tokens: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CachedPart:
+    """A part of prompts that an engine says it keeps.
+
+    :param model: name of the model.
+    :param part: the part.
+    """
+
+    model: str
+    part: PromptPart
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Prompt:
     """What a request says of its prompt.
@@ -220,6 +232,7 @@
     :param peer_port: port for traffic between hosts.
     :param store_address: address of the metadata store.
     :param seeds: addresses of a few hosts, possibly stale.
+    :param first_start: whether the whole system starts for the first time.
     :param drain_s: time after which a leaving runner may get no request.
     :param grace_s: time from SIGTERM to SIGKILL.
     :param lease_s: time that a holder of orders keeps to itself.
@@ -241,6 +254,7 @@
     peer_port: int
     store_address: str
     seeds: tuple[str, ...] = ()
+    first_start: bool = False
     drain_s: float = 2.5
     grace_s: float = 8.0
     lease_s: float = 3.0
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import cast
 
 import msgspec
@@ -11,7 +11,7 @@
 from lacewinglug.host.distance import Distance, Geography
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
-from lacewinglug.host.residency import ChainedPart
+from lacewinglug.host.residency import KeyedPart
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +27,8 @@
 stay a few hundred a second however many hosts there are."""
 MOST_WORK_A_DATAGRAM = 20
 """Most entries in a datagram, which stays below one packet of the network."""
+MOST_PARTS_A_DATAGRAM = 90
+"""Most cached parts in a datagram, for the same reason."""
 _TOLD_PEERS = 40
 
 
@@ -83,6 +85,7 @@
     :param own_state: returns whether this host is ready, and whether it leaves.
     :param own_streams: returns how many streams this host runs at each engine.
     :param on_streams: called with another host and its streams at each engine.
+    :param on_new_host: called with a host that was heard for the first time.
     :param on_switching: called with an engine that is about to change its stage.
     """
 
@@ -91,6 +94,7 @@
     on_work: Callable[[EngineWork], None]
     own_state: Callable[[], tuple[bool, bool]]
     on_switching: Callable[[str], None] = lambda _: None
+    on_new_host: Callable[[HostIdentity], None] = lambda _: None
     own_streams: Callable[[], dict[str, int]] = dict
     on_streams: Callable[[str, dict[str, int]], None] = lambda _host, _counts: None
     _transport: asyncio.DatagramTransport | None = None
@@ -198,6 +202,21 @@
             others = [_to_message(peer) for peer in self.table.peers[:_TOLD_PEERS]]
             data = self._encode_beat(others)
             self._transport.sendto(data, (identity.ip, identity.peer_port))
+            self.on_new_host(identity)
+
+    def tell_all_work(
+        self, work: Iterable[EngineWork], to: Iterable[HostIdentity] | None = None
+    ) -> None:
+        """Tell what engines keep, in datagrams of one packet each.
+
+        :param to: hosts to tell, all where not given.
+        """
+        peers = list(self.table.peers if to is None else to)
+        for item in work:
+            for start in range(0, len(item.parts), MOST_PARTS_A_DATAGRAM):
+                parts = item.parts[start : start + MOST_PARTS_A_DATAGRAM]
+                message = _Datagram(work=[_work(replace(item, parts=parts))])
+                self._send_all(_encoder.encode(message), peers)
 
     def _encode_beat(self, others: Iterable[_IdentityMessage] = ()) -> bytes:
         ready, leaving = self.own_state()
@@ -232,9 +251,7 @@
         instance=message.instance,
         priority=min(max(message.priority, 0), 9),
         work_s=message.work_ms / 1000,
-        parts=tuple(
-            ChainedPart(key=key, tokens=tokens) for key, tokens in message.parts
-        ),
+        parts=tuple(KeyedPart(key=key, tokens=tokens) for key, tokens in message.parts),
     )
 
 
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from lacewinglug.errors import UserError
+from lacewinglug.host.caches import CacheLearner
 from lacewinglug.host.context import HostState
 from lacewinglug.host.dispatch import Dispatcher
 from lacewinglug.host.engines import EngineWork
@@ -95,6 +96,7 @@
             on_switching=self._take_switching,
             own_streams=self.state.own_streams,
             on_streams=self._take_streams,
+            on_new_host=lambda host: self._caches.welcome(host),
         )
         store = StoreClient(address=settings.store_address)
         self._watch = StoreWatch(
@@ -106,6 +108,9 @@
             now_s=self.state.now_s,
             on_failure=lambda what: self._metrics.store_failures.labels(what).inc(),
         )
+        self._caches = CacheLearner(
+            state=self.state, table=self.table, tell=self._peers.tell_all_work
+        )
         self._steward = StageSteward(
             state=self.state,
             keeper=TenureKeeper(
@@ -182,6 +187,7 @@
             )
         ]
         logger.info("host started", extra={"address": self.settings.client_address})
+        learning = asyncio.create_task(self._caches.run())
         stopping = asyncio.create_task(self.stop_requested.wait())
         try:
             done, _ = await asyncio.wait(
@@ -191,7 +197,7 @@
                 task.result()
             await self._leave()
         finally:
-            for task in (stopping, *tasks, *self.state.background):
+            for task in (stopping, learning, *tasks, *self.state.background):
                 task.cancel()
             for listener in (*self._others, self._clients):
                 listener.close()
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -15,7 +15,7 @@
     find_holder,
 )
 from lacewinglug.host.model import EngineProfile, Stage
-from lacewinglug.host.residency import ChainedPart
+from lacewinglug.host.residency import KeyedPart
 
 TRANSFER_SETUP_S = 0.005
 """Time before a transfer between engines begins, in s; from the site files."""
@@ -94,7 +94,7 @@
     :param priority: its rank, 0 first.
     """
 
-    parts: tuple[ChainedPart, ...]
+    parts: tuple[KeyedPart, ...]
     tokens: int
     priority: int
 
--- a/lacewinglug/host/residency.py
+++ b/lacewinglug/host/residency.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from lacewinglug.host.model import Prompt
+from lacewinglug.host.model import Prompt, PromptPart
 
 CAPACITY_SHARE = 0.85
 """Part of an engine's memory that is believed to keep cached parts; running
@@ -15,25 +15,26 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ChainedPart:
-    """A part of a prompt together with all parts before it.
+class KeyedPart:
+    """A part of a prompt, as hosts name it to one another.
 
-    :param key: hash of the ids up to this part.
-    :param tokens: length of this part.
+    :param key: hash of its model and id.
+    :param tokens: its length.
     """
 
     key: int
     tokens: int
 
 
-def chain_parts(prompt: Prompt) -> tuple[ChainedPart, ...]:
-    """Return the parts of a prompt, each under the hash of its chain."""
-    chained = xxhash.xxh3_64_intdigest(prompt.model.encode())
-    parts = []
-    for part in prompt.parts:
-        chained = xxhash.xxh3_64_intdigest(part.part_id.encode(), seed=chained)
-        parts.append(ChainedPart(key=chained, tokens=part.tokens))
-    return tuple(parts)
+def key_part(model: str, part: PromptPart) -> KeyedPart:
+    """Return a part of a model's prompt under its key."""
+    key = xxhash.xxh3_64_intdigest(f"{model}/{part.part_id}".encode())
+    return KeyedPart(key=key, tokens=part.tokens)
+
+
+def key_parts(prompt: Prompt) -> tuple[KeyedPart, ...]:
+    """Return the parts of a prompt under their keys, in order."""
+    return tuple(key_part(prompt.model, part) for part in prompt.parts)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -53,7 +54,7 @@
     _parts: OrderedDict[int, _Resident] = field(default_factory=OrderedDict)
     _tokens: int = 0
 
-    def add(self, parts: Sequence[ChainedPart], *, ready_s: float) -> None:
+    def add(self, parts: Sequence[KeyedPart], *, ready_s: float) -> None:
         """Note that the engine reads or fetches parts.
 
         :param ready_s: monotonic time at which it will have them.
@@ -69,7 +70,7 @@
             self._tokens -= dropped.tokens
 
     def matched_tokens(
-        self, parts: Sequence[ChainedPart], *, by_s: float = math.inf
+        self, parts: Sequence[KeyedPart], *, by_s: float = math.inf
     ) -> int:
         """Return the tokens of the leading parts that the engine keeps.
 
@@ -82,3 +83,10 @@
                 break
             total += part.tokens
         return total
+
+    @property
+    def parts(self) -> tuple[KeyedPart, ...]:
+        """All parts, the oldest use first."""
+        return tuple(
+            KeyedPart(key=key, tokens=item.tokens) for key, item in self._parts.items()
+        )
--- a/lacewinglug/host/steward.py
+++ b/lacewinglug/host/steward.py
@@ -22,9 +22,7 @@
     decode_report,
     encode_order,
 )
-from lacewinglug.platform.headers import instance_headers
 from lacewinglug.wire.client import UpstreamError
-from lacewinglug.wire.messages import Response
 
 logger = logging.getLogger(__name__)
 
@@ -33,8 +31,6 @@
 runners register."""
 PLAN_EVERY_S = 2.0
 """Time between plans, in s; twice the age of the view of runners."""
-CALL_TIMEOUT_S = 1.0
-"""Longest time for an engine's answer to a report or an order, in s."""
 UNSETTLED_S = 15.0
 """Time after an order without an answer in which it may still be carried out, in
 s; the platform says that it may take twelve."""
@@ -42,7 +38,6 @@
 """Time beyond an engine's change until hosts see it in the store, in s."""
 STABLE_S = 1.0
 """Time for which a plan must stay the same before it is carried out, in s."""
-_MOST_BYTES = 65_536
 
 
 @dataclass(kw_only=True)
@@ -150,7 +145,7 @@
     async def _read_report(
         self, service: Service, entry: RunnerEntry
     ) -> EngineReport | None:
-        response = await self._call(service, entry, b"GET", REPORT_TARGET, b"")
+        response = await self.state.call_engine(service, entry, target=REPORT_TARGET)
         return decode_report(response.body) if response.status == 200 else None
 
     async def _order(
@@ -166,32 +161,11 @@
             fencing_number=tenure.fencing_number,
             after_orders=report.orders,
         )
-        response = await self._call(
-            service, change.entry, b"POST", ORDER_TARGET, encode_order(order)
+        response = await self.state.call_engine(
+            service,
+            change.entry,
+            method=b"POST",
+            target=ORDER_TARGET,
+            body=encode_order(order),
         )
         return decode_order_reply(response.status)
-
-    async def _call(
-        self,
-        service: Service,
-        entry: RunnerEntry,
-        method: bytes,
-        target: bytes,
-        body: bytes,
-    ) -> Response:
-        pool = self.state.upstreams.pool(entry, service)
-        async with asyncio.timeout(CALL_TIMEOUT_S):
-            connection = await pool.acquire(timeout_s=CALL_TIMEOUT_S)
-            try:
-                connection.send_request(
-                    method=method,
-                    target=target,
-                    headers=instance_headers(entry.address, entry.instance),
-                    body=body,
-                )
-                response = await connection.read_whole(most_bytes=_MOST_BYTES)
-            except BaseException:
-                pool.drop(connection)
-                raise
-        pool.release(connection, response.headers)
-        return response
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -28,7 +28,7 @@
     SplitPlan,
 )
 from lacewinglug.host.ranks import choose_rank
-from lacewinglug.host.residency import ChainedPart, chain_parts
+from lacewinglug.host.residency import KeyedPart, key_parts
 from lacewinglug.platform.calls import decode_prefill, drop_handle_target
 from lacewinglug.platform.headers import decode_answer, encode_answer
 from lacewinglug.wire.client import UpstreamError
@@ -44,8 +44,6 @@
 GAP_PATIENCE = 2.0
 """Multiple of the route's longest pause after which a stream that may be resumed
 goes on elsewhere."""
-FREE_HANDLE_TIMEOUT_S = 1.0
-"""Longest time to free a KV cache that nobody fetches, in s."""
 REFUSE_SHARE = 1.0
 """Share of the time left that the first event may be expected to take before the
 request is refused."""
@@ -527,7 +525,7 @@
         progress: _Progress,
         account: EngineAccount,
         work_s: float,
-        parts: tuple[ChainedPart, ...],
+        parts: tuple[KeyedPart, ...],
     ) -> None:
         """Note work for an engine here, and tell the other hosts."""
         work = EngineWork(
@@ -585,22 +583,13 @@
     async def _send_free(
         self, context: RequestContext, reader: EngineAccount, handle: str
     ) -> None:
-        pool = self.state.upstreams.pool(reader.entry, context.service)
         try:
-            async with asyncio.timeout(FREE_HANDLE_TIMEOUT_S):
-                connection = await pool.acquire(timeout_s=FREE_HANDLE_TIMEOUT_S)
-                try:
-                    connection.send_request(
-                        method=b"DELETE",
-                        target=drop_handle_target(handle),
-                        headers=((b"Host", reader.entry.address.encode()),),
-                        body=b"",
-                    )
-                    response = await connection.read_whole(most_bytes=65_536)
-                except BaseException:
-                    pool.drop(connection)
-                    raise
-                pool.release(connection, response.headers)
+            await self.state.call_engine(
+                context.service,
+                reader.entry,
+                method=b"DELETE",
+                target=drop_handle_target(handle),
+            )
         except (UpstreamError, TimeoutError) as error:
             # The engine frees it by itself after the handle's time to live.
             self.state.metrics.attempts.labels(
@@ -622,9 +611,9 @@
     return context.facts.prompt or Prompt(model="", prompt_tokens=1, output_tokens=1)
 
 
-def _shared(context: RequestContext) -> tuple[ChainedPart, ...]:
+def _shared(context: RequestContext) -> tuple[KeyedPart, ...]:
     """Return the parts that other prompts may begin with."""
-    return chain_parts(_prompt(context))[:-1]
+    return key_parts(_prompt(context))[:-1]
 
 
 def _unseen(events: Sequence[Event], last_event: int | None) -> list[Event]:
--- a/lacewinglug/platform/calls.py
+++ b/lacewinglug/platform/calls.py
@@ -1,5 +1,6 @@
 """Calls that the platform makes to a host, and that a host makes to engines."""
 
+import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
@@ -7,17 +8,22 @@
 import msgspec
 
 from lacewinglug.host.model import (
+    CachedPart,
     EngineReport,
     OrderReply,
     PrefillAnswer,
+    PromptPart,
     Stage,
     StageOrder,
 )
 from lacewinglug.wire.messages import Request, Response
 
+logger = logging.getLogger(__name__)
+
 _READY_PATH = "/-/readyz"
 _RESOLVE_PATH = "/-/resolve"
 REPORT_TARGET = b"/-/report"
+CACHE_LIST_TARGET = b"/-/kv-list"
 ORDER_TARGET = b"/-/order"
 _ORDER_REPLIES = {
     200: OrderReply.HOLDS_ALREADY,
@@ -48,6 +54,12 @@
     sequence: int = 0
 
 
+class _CacheList(msgspec.Struct):
+    # Rows of an empty text, the part's id, its tokens and the model; all names of
+    # this answer are in lower case.
+    held: list[tuple[str, str, int, str]]
+
+
 class _Handle(msgspec.Struct, rename="pascal"):
     transfer_handle: str
     tokens: int = 0
@@ -101,6 +113,19 @@
     return EngineReport(stage=stage, busy=raw.busy, orders=raw.sequence)
 
 
+def decode_cache_list(body: bytes) -> list[CachedPart]:
+    """Read the parts that an engine keeps; none where the answer cannot be read."""
+    try:
+        raw = msgspec.json.decode(body, type=_CacheList)
+    except msgspec.DecodeError as error:
+        logger.warning("list of cached parts cannot be read: %s", error)
+        return []
+    return [
+        CachedPart(model=model, part=PromptPart(part_id=part_id, tokens=tokens))
+        for _, part_id, tokens, model in raw.held
+    ]
+
+
 def encode_order(order: StageOrder) -> bytes:
     """Return the body of an order."""
     return msgspec.json.encode(
--- a/lacewinglug/platform/settings.py
+++ b/lacewinglug/platform/settings.py
@@ -48,6 +48,7 @@
     internal_ports: tuple[int, int]
     platform: _Store
     zones: dict[str, str] = {}
+    bootstrap: bool = False
     # Control addresses of other hosts; only their IP part is used.
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -97,6 +98,7 @@
         peer_port=raw.internal_ports[0],
         store_address=raw.platform.address,
         seeds=tuple(raw.seeds),
+        first_start=raw.bootstrap,
         drain_s=bounds.drain_ms / _MS_PER_S,
         grace_s=bounds.grace_s,
         lease_s=bounds.lease_ms / _MS_PER_S,
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -6,7 +6,7 @@
 import h11
 
 from lacewinglug.wire.messages import Headers, Response, ResponseHead
-from lacewinglug.wire.sockets import bound_transport
+from lacewinglug.wire.sockets import UPSTREAM_BOUNDS, bound_transport
 
 READ_AHEAD_BYTES = 262_144
 """Bytes kept of an answer before reading pauses."""
@@ -47,7 +47,7 @@
         """Take the open connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        bound_transport(transport)
+        bound_transport(transport, UPSTREAM_BOUNDS)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of the upstream."""
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -11,7 +11,7 @@
 import h11
 
 from lacewinglug.wire.messages import Headers, Request, Response, header_values
-from lacewinglug.wire.sockets import bound_transport
+from lacewinglug.wire.sockets import CLIENT_BOUNDS, bound_transport
 
 logger = logging.getLogger(__name__)
 
@@ -132,7 +132,7 @@
         """Start to serve."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        bound_transport(transport)
+        bound_transport(transport, CLIENT_BOUNDS)
         self._registry.connections.add(self)
         self._task = self._loop.create_task(self._serve())
 
--- a/lacewinglug/wire/sockets.py
+++ b/lacewinglug/wire/sockets.py
@@ -26,10 +26,15 @@
     unacknowledged_s: int = 10
 
 
-SHORT_BOUNDS = SilenceBounds(
-    probe_idle_s=2, probe_interval_s=1, probe_count=2, unacknowledged_s=2
+CLIENT_BOUNDS = SilenceBounds(
+    probe_idle_s=2, probe_interval_s=1, probe_count=2, unacknowledged_s=3
 )
-"""Finds silence within the four seconds of the shortest deadlines."""
+"""Finds a client that has gone silent, in about the time that clients wait."""
+UPSTREAM_BOUNDS = SilenceBounds(
+    probe_idle_s=1, probe_interval_s=1, probe_count=2, unacknowledged_s=1
+)
+"""Finds an upstream that has gone silent while another can still answer in time;
+a second is longer than three repeats of a lost packet."""
 
 
 def bound_silence(
@@ -53,12 +58,12 @@
         connection.setsockopt(level, name, value)
 
 
-def bound_transport(transport: asyncio.BaseTransport) -> None:
-    """Bound the silence of a transport's connection by :data:`SHORT_BOUNDS`."""
+def bound_transport(transport: asyncio.BaseTransport, bounds: SilenceBounds) -> None:
+    """Bound the silence of a transport's connection."""
     connection = transport.get_extra_info("socket")
     if connection is None:
         return
     try:
-        bound_silence(connection, bounds=SHORT_BOUNDS)
+        bound_silence(connection, bounds=bounds)
     except OSError as error:
         logger.warning("the silence of a connection is not bounded: %s", error)
--- a/tests/host/samples.py
+++ b/tests/host/samples.py
@@ -10,7 +10,7 @@
     Share,
     Stage,
 )
-from lacewinglug.host.residency import ChainedPart
+from lacewinglug.host.residency import KeyedPart
 
 PROFILE = EngineProfile(
     slots=128,
@@ -68,4 +68,4 @@
 
 def make_parts(*items):
     """Return chained parts from pairs of key and tokens."""
-    return tuple(ChainedPart(key=key, tokens=tokens) for key, tokens in items)
+    return tuple(KeyedPart(key=key, tokens=tokens) for key, tokens in items)
--- a/tests/host/test_engines.py
+++ b/tests/host/test_engines.py
@@ -7,7 +7,7 @@
 from lacewinglug.host.engines import EngineBook, EngineWork, find_holder
 from lacewinglug.host.model import Prompt, PromptPart, Stage
 from lacewinglug.host.ranks import LAST_RANK, choose_rank
-from lacewinglug.host.residency import CAPACITY_SHARE, Residency, chain_parts
+from lacewinglug.host.residency import CAPACITY_SHARE, Residency, key_parts
 from tests.host.samples import PROFILE, make_engine, make_parts
 
 
@@ -21,7 +21,7 @@
     def chain(*ids):
         parts = tuple(PromptPart(part_id=item, tokens=10) for item in ids)
         prompt = Prompt(model="m", prompt_tokens=30, output_tokens=1, parts=parts)
-        return chain_parts(prompt)
+        return key_parts(prompt)
 
     residency = Residency(capacity_tokens=1000)
     residency.add(chain("a", "b"), ready_s=0.0)
