--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -8,10 +8,10 @@
 from bench.capacity.slopes import Slope, fit_slope
 from lacewinglug.authority.records import ConfigPublished, encode_record
 from lacewinglug.authority.replay import ControlState, replay_record
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Fleet, Organisation
 from lacewinglug.control import RunnerStatus, StatusView, encode_message
-from lacewinglug.backing.log import StoredRecord
 from lacewinglug.report.ledger import BurnLedger
 from lacewinglug.report.windows import (
     BurnWindow,
--- a/bench/control.py
+++ b/bench/control.py
@@ -13,11 +13,11 @@
     encode_record,
 )
 from lacewinglug.authority.state import ControlState
+from lacewinglug.backing.hosts import HostList, HostState
 from lacewinglug.clock import SystemClock
 from lacewinglug.config.changes import diff_fleets, digest_fleet
 from lacewinglug.config.objects import Fleet, Organisation, Runner
 from lacewinglug.metrics import Metrics
-from lacewinglug.backing.hosts import HostList, HostState
 from lacewinglug.steward.hosts import WATCH_INTERVAL_S, HostListWatcher
 
 IN_FORCE_TARGET = Target(limit=4.0, direction="at_most")
--- a/harness/call_fleet.py
+++ b/harness/call_fleet.py
@@ -10,10 +10,10 @@
 from returns.result import Result, Success
 
 from harness.virtual_time import VirtualClock
+from lacewinglug.backing.log import ReadReply, StoredRecord
 from lacewinglug.errors import AppendOutcomeUnknownError, LogUnavailableError
 from lacewinglug.ids import IdFactory
 from lacewinglug.metrics import Metrics
-from lacewinglug.backing.log import ReadReply, StoredRecord
 from lacewinglug.requests.calls import Call, CallRunner
 from lacewinglug.requests.intent_claims import IntentClaims
 from lacewinglug.requests.intents import SHARD_COUNT
--- a/harness/fabric.py
+++ b/harness/fabric.py
@@ -7,9 +7,9 @@
 
 from lacewinglug.authority.replay import adopt_state
 from lacewinglug.authority.state import ControlState
+from lacewinglug.backing.log import StoredRecord
 from lacewinglug.config.objects import Fleet, Host
 from lacewinglug.control import decode_message, encode_message
-from lacewinglug.backing.log import StoredRecord
 from lacewinglug.steward.peers import (
     HEARTBEAT_INTERVAL_S,
     PeerAction,
--- a/harness/order_fakes.py
+++ b/harness/order_fakes.py
@@ -5,6 +5,8 @@
 
 from harness.manual_clock import ManualClock
 from lacewinglug.authority.records import AnyRecord, encode_record
+from lacewinglug.backing.log import ReadReply, StoredRecord
+from lacewinglug.backing.weights import WeightsUnavailableError
 from lacewinglug.config.objects import (
     AvailabilityZone,
     EngineRole,
@@ -17,8 +19,6 @@
     Version,
 )
 from lacewinglug.errors import AppendOutcomeUnknownError, LogUnavailableError
-from lacewinglug.backing.log import ReadReply, StoredRecord
-from lacewinglug.backing.weights import WeightsUnavailableError
 from lacewinglug.standin.engine_control import EngineControl
 from lacewinglug.upstream.client import RunnerError
 from lacewinglug.upstream.messages import EngineOrder, EngineState, OrderReply
