--- a/lacewinglug/host/caches.py
+++ b/lacewinglug/host/caches.py
@@ -30,31 +30,36 @@
     :param state: the host.
     :param table: the other hosts.
     :param tell: tells some hosts, or all, what engines keep.
+    :param done: whether this host knows it.
     """
 
     state: HostState
     table: HostTable
     tell: Callable[[list[EngineWork], list[HostIdentity] | None], None]
+    done: bool = False
 
     async def run(self) -> None:
         """Learn what the engines keep, once."""
-        if self.state.settings.first_start:
-            return
+        if not self.state.settings.first_start:
+            await self._learn()
+        self.done = True
+
+    async def _learn(self) -> None:
         while not self.state.fleet.known or self.state.routes.configuration is None:
             await asyncio.sleep(PEERS_TELL_WITHIN_S / 10)
         self._open_accounts()
         await asyncio.sleep(PEERS_TELL_WITHIN_S)
+        if self.table.caches_known_elsewhere(now_s=self.state.now_s()):
+            return
         for service, entry in self._open_accounts():
-            account = self.state.engines.get(entry.instance)
-            known = account is not None and account.residency.parts
-            if not known and self._is_asker(entry):
+            if self._is_asker(entry):
                 await self._ask(service, entry)
 
     def welcome(self, host: HostIdentity) -> None:
         """Tell a new host what engines keep, if this host is the one to do so."""
         now_s = self.state.now_s()
         others = [item.name for item in self.table.serving(now_s=now_s) if item != host]
-        if all(name > self.table.own.name for name in others):
+        if self.done and all(name > self.table.own.name for name in others):
             self.tell(self.state.engines.known_work(), [host])
 
     def _open_accounts(self) -> list[tuple[Service, RunnerEntry]]:
--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -24,6 +24,10 @@
 SHORTEST_PACE = 0.8
 """Bound of the believed speed of an engine."""
 _SHORT_SAMPLE_S = 0.02
+MOST_EARLY_ENGINES = 256
+"""Engines of which something is kept before they are known."""
+MOST_EARLY_PARTS = 2_000
+"""Cached parts that are kept of each such engine; a full cache has some hundred."""
 STREAM_COUNTS_TTL_S = 2.6
 """Time after which the streams that another host told of no longer count, in s;
 as long as its silence is borne."""
@@ -95,6 +99,7 @@
 
     _accounts: dict[str, EngineAccount] = field(default_factory=dict)
     _streams: dict[str, _StreamCounts] = field(default_factory=dict)
+    _early: dict[str, list[KeyedPart]] = field(default_factory=dict)
 
     def accounts(
         self, entries: Iterable[RunnerEntry], profile: EngineProfile
@@ -110,6 +115,7 @@
         """Take work that this or another host gave to an engine."""
         account = self._accounts.get(work.instance)
         if account is None:
+            self._keep_early(work)
             return
         wait_s = account.backlog.wait_s(work.priority, now_s=now_s)
         account.backlog.add(work.priority, work.work_s, now_s=now_s)
@@ -155,12 +161,19 @@
         for instance in [item for item in self._accounts if item not in names]:
             del self._accounts[instance]
 
+    def _keep_early(self, work: EngineWork) -> None:
+        """Keep what is told of an engine before the store tells that it exists."""
+        if len(self._early) < MOST_EARLY_ENGINES or work.instance in self._early:
+            parts = self._early.setdefault(work.instance, [])
+            parts += work.parts[: MOST_EARLY_PARTS - len(parts)]
+
     def _account(self, entry: RunnerEntry, profile: EngineProfile) -> EngineAccount:
         account = self._accounts.get(entry.instance)
         if account is None or account.entry.born_ms != entry.born_ms:
             residency = Residency(capacity_tokens=profile.capacity_tokens)
             account = EngineAccount(entry=entry, residency=residency)
             self._accounts[entry.instance] = account
+            residency.add(self._early.pop(entry.instance, ()), ready_s=0.0)
         if account.entry.stage is not entry.stage:
             # The change is over: the engine is listed under its new stage.
             account.switching_until_s = 0.0
--- a/lacewinglug/host/hosts.py
+++ b/lacewinglug/host/hosts.py
@@ -42,6 +42,7 @@
     identity: HostIdentity
     ready: bool = False
     leaving: bool = False
+    knows_caches: bool = False
     heard_s: float | None = None
 
 
@@ -71,9 +72,18 @@
         return True
 
     def note_beat(
-        self, identity: HostIdentity, *, ready: bool, leaving: bool, now_s: float
+        self,
+        identity: HostIdentity,
+        *,
+        ready: bool,
+        leaving: bool,
+        now_s: float,
+        knows_caches: bool = False,
     ) -> bool:
-        """Take a beat; return whether the host was new."""
+        """Take a beat; return whether the host was new.
+
+        :param knows_caches: whether it knows what engines keep in their caches.
+        """
         new = self.learn(identity)
         host = self._hosts.get(identity.name)
         if host is None or host.identity.incarnation != identity.incarnation:
@@ -85,6 +95,7 @@
             )
         host.ready = ready
         host.leaving = host.leaving or leaving
+        host.knows_caches = knows_caches
         host.heard_s = now_s
         return new
 
@@ -114,6 +125,14 @@
             and now_s - host.heard_s <= SILENCE_S
         ]
 
+    def caches_known_elsewhere(self, *, now_s: float) -> bool:
+        """Return whether another host that lives knows what engines keep."""
+        return any(
+            host.knows_caches
+            for host in self._hosts.values()
+            if host.heard_s is not None and now_s - host.heard_s <= SILENCE_S
+        )
+
     def addresses(
         self, *, zone: str, region: str, own_serves: bool, now_s: float
     ) -> list[str]:
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -56,6 +56,7 @@
     others: list[_IdentityMessage] = []
     switching: list[str] = []
     streams: dict[str, int] = {}
+    knows_caches: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(_Datagram)
@@ -75,6 +76,20 @@
         return None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnState:
+    """What a host says of itself.
+
+    :param ready: whether clients may be sent to it.
+    :param leaving: whether it is about to end.
+    :param knows_caches: whether it knows what engines keep in their caches.
+    """
+
+    ready: bool
+    leaving: bool
+    knows_caches: bool
+
+
 @dataclass(kw_only=True)
 class PeerLink(asyncio.DatagramProtocol):
     """Owns the socket between hosts.
@@ -82,7 +97,7 @@
     :param table: hosts; beats are noted there.
     :param geography: regions of the availability zones.
     :param on_work: called with the work that another host gave to an engine.
-    :param own_state: returns whether this host is ready, and whether it leaves.
+    :param own_state: returns what this host says of itself.
     :param own_streams: returns how many streams this host runs at each engine.
     :param on_streams: called with another host and its streams at each engine.
     :param on_new_host: called with a host that was heard for the first time.
@@ -92,7 +107,7 @@
     table: HostTable
     geography: Geography
     on_work: Callable[[EngineWork], None]
-    own_state: Callable[[], tuple[bool, bool]]
+    own_state: Callable[[], OwnState]
     on_switching: Callable[[str], None] = lambda _: None
     on_new_host: Callable[[HostIdentity], None] = lambda _: None
     own_streams: Callable[[], dict[str, int]] = dict
@@ -196,7 +211,11 @@
         identity = _to_identity(sender)
         self.on_streams(identity.name, message.streams)
         new = self.table.note_beat(
-            identity, ready=message.ready, leaving=message.leaving, now_s=now_s
+            identity,
+            ready=message.ready,
+            leaving=message.leaving,
+            knows_caches=message.knows_caches,
+            now_s=now_s,
         )
         if new and self._transport is not None:
             others = [_to_message(peer) for peer in self.table.peers[:_TOLD_PEERS]]
@@ -219,12 +238,13 @@
                 self._send_all(_encoder.encode(message), peers)
 
     def _encode_beat(self, others: Iterable[_IdentityMessage] = ()) -> bytes:
-        ready, leaving = self.own_state()
+        state = self.own_state()
         return _encoder.encode(
             _Datagram(
                 sender=_to_message(self.table.own),
-                ready=ready,
-                leaving=leaving,
+                ready=state.ready,
+                leaving=state.leaving,
+                knows_caches=state.knows_caches,
                 others=list(others),
                 streams=self.own_streams(),
             )
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -16,7 +16,7 @@
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.listeners import Listener
 from lacewinglug.host.model import HostSettings
-from lacewinglug.host.peers import PeerLink
+from lacewinglug.host.peers import OwnState, PeerLink
 from lacewinglug.host.reporting import HostMetrics, Reporter
 from lacewinglug.host.steward import StageSteward
 from lacewinglug.host.tenure import TenureKeeper
@@ -92,7 +92,11 @@
             table=self.table,
             geography=self.state.geography,
             on_work=self._take_work,
-            own_state=lambda: (self.ready, self.leaving),
+            own_state=lambda: OwnState(
+                ready=self.ready,
+                leaving=self.leaving,
+                knows_caches=self._caches.done,
+            ),
             on_switching=self._take_switching,
             own_streams=self.state.own_streams,
             on_streams=self._take_streams,
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -5,7 +5,7 @@
 import json
 
 from lacewinglug.host.engines import EngineWork
-from lacewinglug.host.peers import PeerLink, decode_identity, encode_identity
+from lacewinglug.host.peers import OwnState, PeerLink, decode_identity, encode_identity
 from lacewinglug.host.process import HostProcess
 from lacewinglug.platform.settings import decode_settings
 from tests.host.samples import make_parts
@@ -26,7 +26,7 @@
         table=table,
         geography=table.geography,
         on_work=lambda _: None,
-        own_state=lambda: (True, False),
+        own_state=lambda: OwnState(ready=True, leaving=False, knows_caches=True),
     )
     for data in (b"", b"\xc1", b"\x90", b"[]", b"\x91\x91\x01"):
         link.datagram_received(data, ("10.0.0.9", 7380))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -160,6 +160,8 @@
         self.prefills = []
         self.freed = []
         self.orders = []
+        self.kept = []
+        self.lists = 0
         self.left = 0
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -192,6 +194,10 @@
                     {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
                 )
             )
+        elif path == "/-/kv-list":
+            self.lists += 1
+            rows = [["", part, tokens, "m"] for part, tokens in self.kept]
+            await exchange.respond(json_response({"epoch": 1, "Next": 0, "held": rows}))
         elif path == "/-/order":
             self.orders.append(json.loads(request.body))
             await exchange.respond(Response(status=202))
