--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -27,7 +27,7 @@
     PromptPlanner,
     SplitPlan,
 )
-from lacewinglug.host.ranks import choose_rank
+from lacewinglug.host.ranks import URGENT_RANK, URGENT_SHARE, choose_rank
 from lacewinglug.host.residency import KeyedPart, key_parts
 from lacewinglug.platform.calls import decode_prefill, drop_handle_target
 from lacewinglug.platform.headers import decode_answer, encode_answer
@@ -149,8 +149,24 @@
     def _plan(self, context: RequestContext, progress: _Progress) -> PromptPlan | None:
         view = self._view(context)
         job = _job(context, view)
+        plan = self._plan_job(context, progress, view, job)
+        near_s = context.left_s(view.now_s) * URGENT_SHARE
+        if plan is not None and plan.expected_s > near_s and job.priority > URGENT_RANK:
+            job = replace(job, priority=URGENT_RANK)
+            plan = self._plan_job(context, progress, view, job)
         progress.rank = job.priority
-        plan = self._planner(context).plan(
+        if plan is not None:
+            context.story.add("place", now_s=view.now_s, **_describe(plan))
+        return plan
+
+    def _plan_job(
+        self,
+        context: RequestContext,
+        progress: _Progress,
+        view: _EngineView,
+        job: PromptJob,
+    ) -> PromptPlan | None:
+        return self._planner(context).plan(
             job,
             view.accounts,
             now_s=view.now_s,
@@ -158,9 +174,6 @@
             burdens=view.burdens,
             allow_split=not progress.split_failed,
         )
-        if plan is not None:
-            context.story.add("place", now_s=view.now_s, **_describe(plan))
-        return plan
 
     def _view(self, context: RequestContext) -> _EngineView:
         """Return what is known of the engines now."""
