Send no order on an old check of the tenure, and weigh bytes to other regions

A holder that was paused between its check of the log and its order could order after its successor; runners that check fences refuse it, others would not. The check now holds for half a second of time that goes on while the host sleeps.

--- a/lacewinglug/host/caches.py
+++ b/lacewinglug/host/caches.py
@@ -17,7 +17,7 @@
 
 logger = logging.getLogger(__name__)
 
-PEERS_TELL_WITHIN_S = 1.0
+PEERS_TELL_WITHIN_S = 0.5
 """Time in which a host that is up tells a new one what engines keep, in s; after
 it no other host knows, and the engines are asked."""
 _LAST_RANK = 9
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -87,9 +87,11 @@
         target: bytes,
         method: bytes = b"GET",
         body: bytes = b"",
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Response:
         """Call an engine on the host's own behalf.
 
+        :param may_send: asked right before the call is sent.
         :raises UpstreamError: there is no whole answer.
         :raises TimeoutError: there is none in time.
         """
@@ -97,6 +99,8 @@
         async with asyncio.timeout(ENGINE_CALL_TIMEOUT_S):
             connection = await pool.acquire(timeout_s=ENGINE_CALL_TIMEOUT_S)
             try:
+                if not may_send():
+                    raise UpstreamError("no longer allowed", sent=False)
                 connection.send_request(
                     method=method,
                     target=target,
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -22,8 +22,9 @@
 REREAD_COST_S = 0.04e-3
 """Cost of each token that is read although an engine keeps it, in s; what the
 reading takes from other prompts at a decode engine, and its price."""
-REGION_COST_S = 0.08
-"""Cost of sending a prompt to an engine in another region, in s."""
+REGION_COST_S_BYTE = 5e-6
+"""Cost of each byte of a request that goes to another region, in s; traffic there
+is paid by volume."""
 SEAT_COST_S = 0.006
 """Cost of each stream that runs at an engine already, in s; some sixty tokens,
 each of which it makes a tenth of a millisecond slower."""
@@ -92,11 +93,13 @@
     :param parts: its parts, chained.
     :param tokens: its length.
     :param priority: its rank, 0 first.
+    :param size_bytes: size of its request.
     """
 
     parts: tuple[KeyedPart, ...]
     tokens: int
     priority: int
+    size_bytes: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -214,7 +217,7 @@
         expected_s = (
             ROUND_TRIP_S[away] + wait_s + reading.time_s + FIRST_TOKEN_S * runner.pace
         )
-        cost_s = expected_s + reading.cost_s + _region_cost_s(away) + burden.cost_s
+        cost_s = expected_s + reading.cost_s + _region_cost_s(job, away) + burden.cost_s
         if runner.entry.stage is Stage.DECODE:
             cost_s += HOLD_UP_FACTOR * burden.streams * reading.work_s
         return DirectPlan(
@@ -250,7 +253,7 @@
             + FIRST_TOKEN_S * runner.pace
         )
         cost_s = expected_s + reading.cost_s + move_cost_s + burden.cost_s
-        cost_s += _region_cost_s(reader_away) + _region_cost_s(runner_away)
+        cost_s += _region_cost_s(job, reader_away) + _region_cost_s(job, runner_away)
         return SplitPlan(
             reader=reader,
             runner=runner,
@@ -314,8 +317,10 @@
     fetch_from: EngineAccount | None = None
 
 
-def _region_cost_s(distance: Distance) -> float:
-    return REGION_COST_S if distance is Distance.OTHER_REGION else 0.0
+def _region_cost_s(job: PromptJob, distance: Distance) -> float:
+    if distance is not Distance.OTHER_REGION:
+        return 0.0
+    return REGION_COST_S_BYTE * job.size_bytes
 
 
 def _preferred(
--- a/lacewinglug/host/steward.py
+++ b/lacewinglug/host/steward.py
@@ -167,5 +167,6 @@
             method=b"POST",
             target=ORDER_TARGET,
             body=encode_order(order),
+            may_send=self.keeper.is_fresh,
         )
         return decode_order_reply(response.status)
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -617,7 +617,8 @@
     _, held = find_holder(view.accounts, parts, now_s=view.now_s)
     reading_s = max(0, tokens - held) / PREFILL_TOKENS_S
     rank = choose_rank(left_s=context.late_at_s - view.now_s, reading_s=reading_s)
-    return PromptJob(parts=parts, tokens=tokens, priority=rank)
+    size_bytes = len(context.request.body)
+    return PromptJob(parts=parts, tokens=tokens, priority=rank, size_bytes=size_bytes)
 
 
 def _prompt(context: RequestContext) -> Prompt:
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -1,6 +1,8 @@
 """The authority to give orders: a claim in a log that no later claim supersedes."""
 
 import logging
+import math
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -15,10 +17,18 @@
 CLAIM_MARGIN_S = 0.5
 """Wait beyond the lease before a new holder's first order, in s; covers the way
 of the last order of the holder before."""
+CONFIRMED_FOR_S = 0.5
+"""Time after a read of the log in which an order may be sent, in s; a successor
+waits out several times as long."""
 REFUSED_PAUSE_S = 10.0
 """Time that a holder which was superseded claims nothing, in s; several leases."""
 
 
+def read_boot_time_s() -> float:
+    """Return seconds since the host booted, time asleep included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class _Claim(msgspec.Struct, array_like=True):
     host: str
     incarnation: int
@@ -48,6 +58,7 @@
     :param lease_s: time that a holder's orders keep others from giving any.
     :param now_s: returns monotonic seconds.
     :param sleep: suspends for some seconds.
+    :param boot_time_s: returns seconds that go on while the host is suspended.
     """
 
     store: StoreClient
@@ -57,7 +68,9 @@
     now_s: Callable[[], float]
     sleep: Callable[[float], Awaitable[None]]
     _tenure: Tenure | None = None
+    boot_time_s: Callable[[], float] = read_boot_time_s
     _paused_until_s: float = 0.0
+    _confirmed_s: float = -math.inf
 
     async def acquire(self) -> Tenure | None:
         """Return this host's tenure, claimed where need be; None for not now."""
@@ -82,6 +95,7 @@
         """Return whether no later claim stands in the log, by reading it now."""
         if self._tenure is None:
             return False
+        asked_s = self.boot_time_s()
         try:
             _, end_offset = await self.store.read_records(
                 CLAIMS_TOPIC, from_offset=self._tenure.claim_offset + 1
@@ -92,8 +106,17 @@
         if end_offset != self._tenure.claim_offset + 1:
             self._give_up("another host claimed later")
             return False
+        self._confirmed_s = asked_s
         return True
 
+    def is_fresh(self) -> bool:
+        """Return whether the log was read so lately that an order may be sent.
+
+        A process that was suspended since then finds that it was not.
+        """
+        age_s = self.boot_time_s() - self._confirmed_s
+        return self._tenure is not None and age_s <= CONFIRMED_FOR_S
+
     def note_fenced(self) -> None:
         """Stop at once: an engine has seen a higher fencing number."""
         self._give_up("an engine refused the fencing number")
--- a/tests/host/test_prompts.py
+++ b/tests/host/test_prompts.py
@@ -12,7 +12,9 @@
 )
 from tests.host.samples import PROFILE, REGIONS, make_engine, make_parts
 
-LONG = PromptJob(parts=make_parts((1, 13_000)), tokens=17_000, priority=2)
+LONG = PromptJob(
+    parts=make_parts((1, 13_000)), tokens=17_000, priority=2, size_bytes=17_000
+)
 
 
 class Fleet:
@@ -59,6 +61,16 @@
     assert plan.new_tokens == 4_000
 
 
+def test_bytes_to_another_region_count_by_volume():
+    fleet = Fleet()
+    fleet.work("read-mtl", seconds=1.06)
+    fleet.work("run-mtl", seconds=1.06)
+    small = PromptJob(parts=(), tokens=1_000, priority=2, size_bytes=1_000)
+    large = PromptJob(parts=(), tokens=1_000, priority=2, size_bytes=60_000)
+    assert fleet.plan(small).runner.entry.instance == "run-qc"
+    assert fleet.plan(large).runner.entry.instance == "run-mtl"
+
+
 def test_a_queue_at_the_reader_sends_the_prompt_elsewhere():
     fleet = Fleet()
     fleet.work("read-mtl", seconds=3.0)
--- a/tests/host/test_tenure.py
+++ b/tests/host/test_tenure.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from lacewinglug.host.tenure import CLAIM_MARGIN_S, REFUSED_PAUSE_S, TenureKeeper
+from lacewinglug.host.tenure import (
+    CLAIM_MARGIN_S,
+    CONFIRMED_FOR_S,
+    REFUSED_PAUSE_S,
+    TenureKeeper,
+)
 from lacewinglug.platform.store import StoreError
 
 
@@ -53,6 +58,7 @@
         lease_s=3.0,
         now_s=time.now_s,
         sleep=time.sleep,
+        boot_time_s=time.now_s,
     )
 
 
@@ -115,3 +121,17 @@
     keeper.note_fenced()
     assert run(keeper.acquire()) is None
     assert len(log.records) == 1
+
+
+def test_a_holder_that_was_suspended_after_its_check_sends_nothing():
+    log, time = Log(), Time()
+    keeper = make_keeper(log, time, "a")
+    assert not keeper.is_fresh()
+    run(keeper.acquire())
+    assert keeper.is_fresh()
+    time.now += CONFIRMED_FOR_S + 0.1
+    assert not keeper.is_fresh()
+    assert run(keeper.still_holds())
+    assert keeper.is_fresh()
+    keeper.note_fenced()
+    assert not keeper.is_fresh()
