--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -62,7 +62,8 @@
 @pytest.mark.parametrize("own", [False, True])
 async def test_kill_between_send_and_reply(stage, own):
     key = "order-killed" if own else await stage.mint("entry-1")
-    await stage.set_faults(late_replies=1, late_s=2.0)
+    # Longer than any pause of this machine, so that no reply comes before the kill.
+    await stage.set_faults(late_replies=1, late_s=30.0)
     first = asyncio.create_task(stage.call("entry-1", key))
     await stage.wait_run(key)
     for host in HOSTS:
--- a/tests/steward/test_order_processes.py
+++ b/tests/steward/test_order_processes.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import pytest
@@ -142,11 +143,19 @@
 
 def test_engine_and_stewards_die_in_a_change(deployment):
     deployment.prepare()
-    deployment.publish_role("mixed", "decode")
-    for name in (FENCED, UNFENCED):
-        deployment.wait(lambda name=name: deployment.engine(name).state == "changing")
+
+    def kill_in_change(name):
+        deployment.wait(lambda: deployment.engine(name).state == "changing")
         deployment.processes.pop(name).kill()
         deployment.start_runners([name], "--change-s", "1.5", "--version", "")
+
+    # Both are watched at once: beside load, the second change would else be over
+    # before the first engine runs again.
+    with ThreadPoolExecutor() as watchers:
+        deaths = [watchers.submit(kill_in_change, name) for name in (FENCED, UNFENCED)]
+        deployment.publish_role("mixed", "decode")
+    for death in deaths:
+        death.result()
     for host in HOSTS:
         deployment.processes.pop(f"{host}.steward").kill()
         deployment.start_steward(host)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,6 +5,7 @@
 import socket
 from pathlib import Path
 
+from lacewinglug.host.reporting import HostMetrics
 from lacewinglug.metrics import Metrics, make_metrics
 
 ROOT = Path(__file__).parent.parent
@@ -50,9 +51,15 @@
                     )
 
 
+def iter_host_metric_names():
+    """Yield the names of the host's metrics, as they are fetched."""
+    for family in HostMetrics().registry.collect():
+        yield f"{family.name}_total" if family.type == "counter" else family.name
+
+
 def test_every_metric_is_documented():
     page = (ROOT / "docs" / "METRICS.md").read_text()
-    documented = set(re.findall(r"^\| `([^`]+)`", page, flags=re.MULTILINE))
-    used = set(iter_metric_names())
+    documented = set(re.findall(r"^\| `([^`{]+)[^`]*`", page, flags=re.MULTILINE))
+    used = set(iter_metric_names()) | set(iter_host_metric_names())
     assert used - documented == set(), "add them to docs/METRICS.md"
     assert documented - used == set(), "remove them from docs/METRICS.md"
