--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -5,7 +5,7 @@
 
 from lacewinglug.host.answers import Reason, Refusal, not_run
 from lacewinglug.host.context import Attempt, HostState, RequestContext
-from lacewinglug.host.model import RunnerEntry, UpstreamCall
+from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.plain import choose_plain_runner
 from lacewinglug.platform.headers import decode_answer, encode_answer
 from lacewinglug.wire.client import UpstreamError
@@ -135,7 +135,7 @@
     async def _exchange(self, context: RequestContext, attempt: Attempt) -> Outcome:
         try:
             await attempt.connect()
-            attempt.send(self._call(context, attempt.entry))
+            attempt.send(context.make_call(attempt.entry, now_s=self.state.now_s()))
         except UpstreamError:
             return Unreached()
         context.sends += 1
@@ -168,10 +168,6 @@
             )
         )
 
-    def _call(self, context: RequestContext, entry: RunnerEntry) -> UpstreamCall:
-        deadline_s = context.deadline_s(self.state.now_s())
-        return UpstreamCall(instance=entry.instance, deadline_s=deadline_s)
-
     def _patience_s(self, context: RequestContext) -> float | None:
         """Return how long an answer is waited for, None up to the very end."""
         others = len(self.state.fleet.ready(context.service.name)) - len(context.tried)
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -170,6 +170,28 @@
             limits.append(self.facts.deadline_s - passed_s)
         return min(limits)
 
+    def make_call(
+        self,
+        entry: RunnerEntry,
+        *,
+        now_s: float,
+        priority: int | None = None,
+        prefill_only: bool = False,
+        cache_source: str | None = None,
+        fetch_from: str | None = None,
+        last_event: int | None = None,
+    ) -> UpstreamCall:
+        """Return what the host adds to the request for a runner."""
+        return UpstreamCall(
+            instance=entry.instance,
+            deadline_s=self.deadline_s(now_s),
+            priority=priority,
+            prefill_only=prefill_only,
+            cache_source=cache_source,
+            fetch_from=fetch_from,
+            last_event=last_event,
+        )
+
 
 class Attempt:
     """One exchange with a runner, which ends its connection unless it is whole.
--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -9,6 +9,8 @@
 from lacewinglug.host.context import HostState, RequestContext
 from lacewinglug.host.life import RequestLife
 from lacewinglug.host.model import IncomingRequest, Repeat, Route
+from lacewinglug.host.placing import PromptPlacer
+from lacewinglug.host.prefills import Prefiller
 from lacewinglug.host.reporting import Reporter, RequestStory
 from lacewinglug.host.routes import choose_service
 from lacewinglug.host.streams import StreamRelay
@@ -38,7 +40,12 @@
 
     def __post_init__(self) -> None:
         self._calls = CallRelay(state=self.state)
-        self._streams = StreamRelay(state=self.state)
+        placer = PromptPlacer(state=self.state)
+        self._streams = StreamRelay(
+            state=self.state,
+            placer=placer,
+            prefiller=Prefiller(state=self.state, placer=placer),
+        )
 
     async def handle(self, request: Request, exchange: Exchange) -> None:
         """Answer one request; cancelled where the client leaves."""
--- a/lacewinglug/host/health.py
+++ b/lacewinglug/host/health.py
@@ -49,6 +49,13 @@
         self.blocked_until_s = now_s + self._block_s
         self._block_s = min(2 * self._block_s, LONGEST_BLOCK_S)
 
+    def note_loss(self, *, silent: bool, now_s: float) -> None:
+        """Take a run that ended early; a silent runner gets no work for a while."""
+        if silent:
+            self.note_unreachable(now_s=now_s)
+        else:
+            self.note_answer(failed=True, now_s=now_s)
+
     def note_load(self, hint: LoadHint, *, now_s: float) -> None:
         """Take the load that the runner states; own requests are left out."""
         self._hint = hint
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 
 from lacewinglug.host.answers import Reason, Refusal, not_run
 from lacewinglug.host.calls import (
@@ -11,36 +11,19 @@
     REJECTED_RETRY_S,
 )
 from lacewinglug.host.context import Attempt, HostState, RequestContext
-from lacewinglug.host.engines import (
-    PREFILL_TOKENS_S,
-    EngineAccount,
-    EngineWork,
-    find_holder,
-)
 from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
-from lacewinglug.host.model import EngineProfile, Prompt, RunnerEntry, UpstreamCall
-from lacewinglug.host.prompts import (
-    Burden,
-    DirectPlan,
-    PromptJob,
-    PromptPlan,
-    PromptPlanner,
-    SplitPlan,
+from lacewinglug.host.placing import PromptPlacer
+from lacewinglug.host.prefills import (
+    FIRST_EVENT_PATIENCE,
+    SHORTEST_PATIENCE_S,
+    Prefiller,
 )
-from lacewinglug.host.ranks import URGENT_RANK, URGENT_SHARE, choose_rank
-from lacewinglug.host.residency import KeyedPart, key_parts
-from lacewinglug.platform.calls import decode_prefill, drop_handle_target
+from lacewinglug.host.prompts import DirectPlan, PromptPlan, SplitPlan
 from lacewinglug.platform.headers import decode_answer, encode_answer
 from lacewinglug.wire.client import UpstreamError
 from lacewinglug.wire.messages import Response
 from lacewinglug.wire.server import Exchange
 
-FIRST_EVENT_PATIENCE = 3.0
-"""Multiple of the expected time to the first event after which a stream that may
-be resumed is tried elsewhere."""
-SHORTEST_PATIENCE_S = 2.0
-"""Bound of that time, in s; a shorter one breaks off work that merely waits and
-adds to the load that it waits for."""
 GAP_PATIENCE = 2.0
 """Multiple of the route's longest pause after which a stream that may be resumed
 goes on elsewhere."""
@@ -74,22 +57,6 @@
     rank: int = 5
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _EngineView:
-    """What is known of the engines of a service at a moment.
-
-    :param now_s: the moment.
-    :param accounts: engines that take new work.
-    :param avoided: engines to use only where there is no other.
-    :param burdens: streams and failures, by instance.
-    """
-
-    now_s: float
-    accounts: Sequence[EngineAccount]
-    avoided: set[str]
-    burdens: dict[str, Burden]
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Finished:
     """The stream is whole."""
@@ -110,10 +77,13 @@
     """Gives prompts to engines and relays their events.
 
     :param state: the host.
+    :param placer: chooses engines.
+    :param prefiller: lets engines read prompts.
     """
 
     state: HostState
-    _planners: dict[str, PromptPlanner] = field(default_factory=dict)
+    placer: PromptPlacer
+    prefiller: Prefiller
 
     async def relay(
         self, context: RequestContext, exchange: Exchange
@@ -121,9 +91,12 @@
         """Relay a stream; return the final answer where no stream was begun."""
         progress = _Progress(last_event=context.facts.last_event)
         while True:
-            plan = self._plan(context, progress)
-            if plan is None:
+            placement = self.placer.place(
+                context, allow_split=not progress.split_failed
+            )
+            if placement is None:
                 return self._give_up(context, progress, Reason.NO_RUNNER)
+            plan, progress.rank = placement.plan, placement.rank
             late = self._lateness_s(context, plan)
             if late > 0 and context.life.nothing_ran:
                 retry_s = min(max(late, REJECTED_RETRY_S), LONGEST_RETRY_S)
@@ -136,7 +109,6 @@
                         "finished",
                         now_s=now_s,
                         events=progress.last_event,
-                        most_tokens=_prompt(context).output_tokens,
                     )
                     return None
                 case Response():
@@ -146,89 +118,6 @@
             if not self._may_repeat(context, progress):
                 return self._give_up(context, progress, Reason.REJECTED)
 
-    def _plan(self, context: RequestContext, progress: _Progress) -> PromptPlan | None:
-        view = self._view(context)
-        job = _job(context, view)
-        plan = self._plan_job(context, progress, view, job)
-        near_s = context.left_s(view.now_s) * URGENT_SHARE
-        if plan is not None and plan.expected_s > near_s and job.priority > URGENT_RANK:
-            job = replace(job, priority=URGENT_RANK)
-            plan = self._plan_job(context, progress, view, job)
-        progress.rank = job.priority
-        if plan is not None:
-            context.story.add("place", now_s=view.now_s, **_describe(plan))
-        return plan
-
-    def _plan_job(
-        self,
-        context: RequestContext,
-        progress: _Progress,
-        view: _EngineView,
-        job: PromptJob,
-    ) -> PromptPlan | None:
-        return self._planner(context).plan(
-            job,
-            view.accounts,
-            now_s=view.now_s,
-            avoided=view.avoided,
-            burdens=view.burdens,
-            allow_split=not progress.split_failed,
-        )
-
-    def _view(self, context: RequestContext) -> _EngineView:
-        """Return what is known of the engines now."""
-        now_s = self.state.now_s()
-        profile = context.service.engine or EngineProfile()
-        entries = self.state.fleet.ready(context.service.name)
-        accounts = self.state.engines.accounts(entries, profile)
-        return _EngineView(
-            now_s=now_s,
-            accounts=accounts,
-            avoided=self._avoided(context, accounts, now_s),
-            burdens=self._burdens(entries, now_s),
-        )
-
-    def _avoided(
-        self,
-        context: RequestContext,
-        accounts: Sequence[EngineAccount],
-        now_s: float,
-    ) -> set[str]:
-        """Return the engines to use only where there is no other."""
-        health = self.state.upstreams.health
-        return {
-            account.entry.instance
-            for account in accounts
-            if account.entry.instance in context.tried
-            or account.switching_until_s > now_s
-            or health(account.entry.instance).blocked(now_s)
-        }
-
-    def _burdens(
-        self, entries: Sequence[RunnerEntry], now_s: float
-    ) -> dict[str, Burden]:
-        elsewhere = self.state.engines.streams_elsewhere(now_s=now_s)
-        burdens = {}
-        for entry in entries:
-            health = self.state.upstreams.health(entry.instance)
-            burdens[entry.instance] = Burden(
-                streams=health.outstanding + elsewhere.get(entry.instance, 0),
-                failure_share=health.failure_share(now_s),
-            )
-        return burdens
-
-    def _planner(self, context: RequestContext) -> PromptPlanner:
-        profile = context.service.engine or EngineProfile()
-        planner = self._planners.get(context.service.name)
-        if planner is None or planner.profile != profile:
-            planner = PromptPlanner(
-                profile=profile,
-                geography=self.state.geography,
-                zone=self.state.settings.zone,
-            )
-            self._planners[context.service.name] = planner
-        return planner
-
     def _lateness_s(self, context: RequestContext, plan: PromptPlan) -> float:
         left_s = context.left_s(self.state.now_s())
         return plan.expected_s - left_s * REFUSE_SHARE
@@ -242,7 +131,7 @@
     ) -> _Finished | _Failed | Response:
         match plan:
             case SplitPlan():
-                handle = await self._prefill(context, progress, plan)
+                handle = await self.prefiller.read(context, plan, rank=progress.rank)
                 if handle is None:
                     progress.split_failed = True
                     return _Failed(reason="prefill failed")
@@ -250,8 +139,8 @@
                     context, progress, plan, exchange, handle
                 )
             case DirectPlan():
-                self._book(
-                    context, progress, plan.runner, plan.work_s, _shared(context)
+                self.placer.book(
+                    context, plan.runner, rank=progress.rank, work_s=plan.work_s
                 )
                 fetch_from = plan.fetch_from
                 address = None if fetch_from is None else fetch_from.entry.address
@@ -259,52 +148,6 @@
                     context, progress, plan, exchange, fetch_from=address
                 )
 
-    async def _prefill(
-        self, context: RequestContext, progress: _Progress, plan: SplitPlan
-    ) -> str | None:
-        """Let an engine read the prompt; return the handle of its KV cache."""
-        reader = plan.reader
-        self._book(context, progress, reader, plan.work_s, _shared(context))
-        attempt = Attempt(state=self.state, context=context, entry=reader.entry)
-        wait_s = max(SHORTEST_PATIENCE_S, plan.expected_s * FIRST_EVENT_PATIENCE)
-        fetch_from = plan.fetch_from
-        try:
-            await attempt.connect()
-            attempt.send(
-                self._call(
-                    context,
-                    progress,
-                    reader,
-                    prefill_only=True,
-                    fetch_from=None if fetch_from is None else fetch_from.entry.address,
-                )
-            )
-            async with asyncio.timeout(wait_s):
-                head = await attempt.read_head()
-                response = await attempt.read_whole(head, most_bytes=MOST_ANSWER_BYTES)
-        except (UpstreamError, TimeoutError) as error:
-            self._note_loss(attempt, silent=isinstance(error, TimeoutError))
-            context.sends += 1
-            context.story.add(
-                "prefill", now_s=self.state.now_s(), result=str(error) or "timeout"
-            )
-            context.tried.add(reader.entry.instance)
-            return None
-        finally:
-            attempt.drop()
-        answer = decode_prefill(response.body) if response.status == _OK else None
-        now_s = self.state.now_s()
-        context.story.add("prefill", now_s=now_s, result=response.status)
-        attempt.health.note_answer(failed=answer is None, now_s=now_s)
-        if answer is None:
-            context.sends += 1
-            context.tried.add(reader.entry.instance)
-            return None
-        reader.note_first_token(
-            expected_s=plan.expected_s, actual_s=now_s - attempt.started_s
-        )
-        return answer.handle
-
     async def _stream_from_handle(
         self,
         context: RequestContext,
@@ -316,42 +159,20 @@
         source = f"{plan.reader.entry.address}/{handle}"
         result: _Finished | _Failed | Response | None = None
         try:
-            transfer = self._plan_transfer(context, progress, plan)
+            transfer = self.placer.place_transfer(context, plan, rank=progress.rank)
             if transfer is None:
                 result = _Failed(reason="no engine streams")
                 return result
-            self._book(context, progress, transfer.runner, 0.0, _shared(context))
+            self.placer.book(context, transfer.runner, rank=progress.rank, work_s=0.0)
             result = await self._stream(
                 context, progress, transfer, exchange, cache_source=source
             )
         finally:
             if not isinstance(result, _Finished):
-                self._free_handle(context, plan.reader, handle)
+                self.prefiller.free(context, plan.reader, handle)
                 progress.split_failed = True
         return result
 
-    def _plan_transfer(
-        self, context: RequestContext, progress: _Progress, plan: SplitPlan
-    ) -> SplitPlan | None:
-        """Choose the engine that streams anew: reading may have taken seconds."""
-        view = self._view(context)
-        job = replace(_job(context, view), priority=progress.rank)
-        transfer = self._planner(context).plan_transfer(
-            job,
-            plan.reader,
-            view.accounts,
-            now_s=view.now_s,
-            avoided=view.avoided,
-            burdens=view.burdens,
-        )
-        if transfer is not None and transfer.runner is not plan.runner:
-            context.story.add(
-                "transfer",
-                now_s=view.now_s,
-                runner=transfer.runner.entry.instance,
-            )
-        return transfer
-
     async def _stream(
         self,
         context: RequestContext,
@@ -369,10 +190,10 @@
         try:
             await attempt.connect()
             attempt.send(
-                self._call(
-                    context,
-                    progress,
-                    runner,
+                context.make_call(
+                    runner.entry,
+                    now_s=self.state.now_s(),
+                    priority=progress.rank,
                     cache_source=cache_source,
                     fetch_from=fetch_from,
                     last_event=progress.last_event if progress.started else None,
@@ -388,7 +209,9 @@
             return await self._read_stream(context, progress, plan, exchange, attempt)
         except (UpstreamError, TimeoutError, EventTooLongError) as error:
             context.life.apply("lose")
-            self._note_loss(attempt, silent=isinstance(error, TimeoutError))
+            attempt.health.note_loss(
+                silent=isinstance(error, TimeoutError), now_s=self.state.now_s()
+            )
             return _Failed(reason=str(error) or "silent")
         finally:
             attempt.drop()
@@ -456,14 +279,6 @@
         if data:
             await exchange.write(data)
 
-    def _note_loss(self, attempt: Attempt, *, silent: bool) -> None:
-        """Note a run that ended early; a silent engine gets no work for a while."""
-        now_s = self.state.now_s()
-        if silent:
-            attempt.health.note_unreachable(now_s=now_s)
-        else:
-            attempt.health.note_answer(failed=True, now_s=now_s)
-
     def _judge(
         self,
         context: RequestContext,
@@ -511,45 +326,6 @@
         if isinstance(plan, DirectPlan):
             plan.runner.note_first_token(expected_s=plan.expected_s, actual_s=took_s)
 
-    def _call(
-        self,
-        context: RequestContext,
-        progress: _Progress,
-        account: EngineAccount,
-        *,
-        prefill_only: bool = False,
-        cache_source: str | None = None,
-        fetch_from: str | None = None,
-        last_event: int | None = None,
-    ) -> UpstreamCall:
-        return UpstreamCall(
-            instance=account.entry.instance,
-            deadline_s=context.deadline_s(self.state.now_s()),
-            priority=progress.rank,
-            prefill_only=prefill_only,
-            cache_source=cache_source,
-            fetch_from=fetch_from,
-            last_event=last_event,
-        )
-
-    def _book(
-        self,
-        context: RequestContext,
-        progress: _Progress,
-        account: EngineAccount,
-        work_s: float,
-        parts: tuple[KeyedPart, ...],
-    ) -> None:
-        """Note work for an engine here, and tell the other hosts."""
-        work = EngineWork(
-            instance=account.entry.instance,
-            priority=progress.rank,
-            work_s=work_s,
-            parts=parts,
-        )
-        self.state.engines.note_work(work, now_s=self.state.now_s())
-        self.state.tell_work(work)
-
     def _first_wait_s(self, context: RequestContext, plan: PromptPlan) -> float | None:
         if not self._may_move(context):
             return None
@@ -584,51 +360,6 @@
             return not_run(reason, retry_after_s=REJECTED_RETRY_S)
         return Refusal(status=502, reason=Reason.UNKNOWN)
 
-    def _free_handle(
-        self, context: RequestContext, reader: EngineAccount, handle: str
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._send_free(context, reader, handle)
-        )
-        self.state.background.add(task)
-        task.add_done_callback(self.state.background.discard)
-
-    async def _send_free(
-        self, context: RequestContext, reader: EngineAccount, handle: str
-    ) -> None:
-        try:
-            await self.state.call_engine(
-                context.service,
-                reader.entry,
-                method=b"DELETE",
-                target=drop_handle_target(handle),
-            )
-        except (UpstreamError, TimeoutError) as error:
-            # The engine frees it by itself after the handle's time to live.
-            self.state.metrics.attempts.labels(
-                context.service.name, "handle_not_freed"
-            ).inc()
-            context.story.add("free", now_s=self.state.now_s(), result=str(error))
-
-
-def _job(context: RequestContext, view: _EngineView) -> PromptJob:
-    parts = _shared(context)
-    tokens = max(1, _prompt(context).prompt_tokens)
-    _, held = find_holder(view.accounts, parts, now_s=view.now_s)
-    reading_s = max(0, tokens - held) / PREFILL_TOKENS_S
-    rank = choose_rank(left_s=context.late_at_s - view.now_s, reading_s=reading_s)
-    size_bytes = len(context.request.body)
-    return PromptJob(parts=parts, tokens=tokens, priority=rank, size_bytes=size_bytes)
-
-
-def _prompt(context: RequestContext) -> Prompt:
-    return context.facts.prompt or Prompt(model="", prompt_tokens=1, output_tokens=1)
-
-
-def _shared(context: RequestContext) -> tuple[KeyedPart, ...]:
-    """Return the parts that other prompts may begin with."""
-    return key_parts(_prompt(context))[:-1]
-
 
 def _unseen(events: Sequence[Event], last_event: int | None) -> list[Event]:
     """Return the events that the client does not have yet."""
@@ -637,18 +368,3 @@
         for event in events
         if event.number is None or last_event is None or event.number > last_event
     ]
-
-
-def _describe(plan: PromptPlan) -> dict[str, object]:
-    fetch_from = plan.fetch_from.entry.instance if plan.fetch_from else None
-    fields: dict[str, object] = {
-        "runner": plan.runner.entry.instance,
-        "expected_ms": round(plan.expected_s * 1000),
-        "work_ms": round(plan.work_s * 1000),
-        "new_tokens": plan.new_tokens,
-        "pace": round(plan.runner.pace, 2),
-        "fetch_from": fetch_from,
-    }
-    if isinstance(plan, SplitPlan):
-        fields["reader"] = plan.reader.entry.instance
-    return fields
--- /dev/null
+++ b/tests/host/hosting.py
@@ -0,0 +1,21 @@
+"""Runs a host in the loop of a test."""
+
+import asyncio
+import contextlib
+import json
+
+from lacewinglug.host.process import HostProcess
+from lacewinglug.platform.settings import decode_settings
+
+
+@contextlib.asynccontextmanager
+async def hosting(settings):
+    """Run a host by its settings, and end it at once afterwards."""
+    process = HostProcess(settings=decode_settings(json.dumps(settings).encode()))
+    task = asyncio.create_task(process.run())
+    try:
+        yield process
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
--- a/tests/host/test_caches.py
+++ b/tests/host/test_caches.py
@@ -1,27 +1,12 @@
 """After a start of all hosts, engines are asked once for what they keep."""
 
 import asyncio
-import contextlib
-import json
 
-from lacewinglug.host.process import HostProcess
-from lacewinglug.platform.settings import decode_settings
+from tests.host.hosting import hosting
 from tests.platform.scene import Scene, make_settings
 from tests.platform.standin import RunnerStandin
 
 
-@contextlib.asynccontextmanager
-async def running(settings):
-    process = HostProcess(settings=decode_settings(json.dumps(settings).encode()))
-    task = asyncio.create_task(process.run())
-    try:
-        yield process
-    finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-
-
 def kept_tokens(process):
     account = process.state.engines.get("e-1")
     return (
@@ -48,8 +33,8 @@
     try:
         async with (
             asyncio.timeout(40),
-            running(scene.settings) as a,
-            running(second) as b,
+            hosting(scene.settings) as a,
+            hosting(second) as b,
         ):
             while not (kept_tokens(a) == kept_tokens(b) == 3000):
                 await asyncio.sleep(0.02)
@@ -62,10 +47,10 @@
     scene, engine = await open_scene()
     second = make_second(scene)
     try:
-        async with asyncio.timeout(40), running(scene.settings) as a:
+        async with asyncio.timeout(40), hosting(scene.settings) as a:
             while not a._caches.done:
                 await asyncio.sleep(0.02)
-            async with running(second) as b:
+            async with hosting(second) as b:
                 while kept_tokens(b) != 3000 or not b._caches.done:
                     await asyncio.sleep(0.02)
         assert engine.lists == 1
@@ -77,7 +62,7 @@
     scene, engine = await open_scene()
     try:
         settings = scene.settings | {"Bootstrap": True}
-        async with asyncio.timeout(40), running(settings) as process:
+        async with asyncio.timeout(40), hosting(settings) as process:
             while not process._caches.done or not process.ready:
                 await asyncio.sleep(0.02)
         assert engine.lists == 0
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -1,13 +1,10 @@
 """Hosts find one another over the store and tell what they give to engines."""
 
 import asyncio
-import contextlib
-import json
 
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.peers import OwnState, PeerLink, decode_identity, encode_identity
-from lacewinglug.host.process import HostProcess
-from lacewinglug.platform.settings import decode_settings
+from tests.host.hosting import hosting
 from tests.host.samples import make_parts
 from tests.host.test_hosts import identity, make_table
 from tests.platform.scene import Scene, make_settings
@@ -33,18 +30,6 @@
     assert table.peers == []
 
 
-@contextlib.asynccontextmanager
-async def running(settings):
-    process = HostProcess(settings=decode_settings(json.dumps(settings).encode()))
-    task = asyncio.create_task(process.run())
-    try:
-        yield process
-    finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-
-
 async def test_two_hosts_share_work_and_name_each_other():
     engine = RunnerStandin("e-1", "llm", stage="decode")
     scene = await Scene().open(engine)
@@ -53,7 +38,7 @@
     second = make_settings(ip, scene.store.address, name="edge-2")
     second["InternalPorts"] = first["InternalPorts"]
     try:
-        async with asyncio.timeout(40), running(first) as a, running(second) as b:
+        async with asyncio.timeout(40), hosting(first) as a, hosting(second) as b:
             now_s = asyncio.get_running_loop().time
             while not (a.table.serving(now_s=now_s()) and b.ready and a.ready):
                 await asyncio.sleep(0.02)
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import contextlib
-import json
 
 import pytest
 
-from lacewinglug.host.process import HostProcess
-from lacewinglug.platform.settings import decode_settings
+from tests.host.hosting import hosting
 from tests.platform.scene import (
     Scene,
     connect,
@@ -27,18 +25,12 @@
 async def running(*runners, configuration=None):
     """Run a host in this process between stand-ins."""
     scene = await Scene().open(*runners, configuration=configuration)
-    settings = decode_settings(json.dumps(scene.settings).encode())
-    process = HostProcess(settings=settings)
-    task = asyncio.create_task(process.run())
     try:
-        async with asyncio.timeout(PATIENCE_S):
+        async with hosting(scene.settings) as process, asyncio.timeout(PATIENCE_S):
             await scene.ready()
             scene.process = process
             yield scene
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
         scene.close()
 
 
@@ -327,3 +319,11 @@
         answer = await waiting
     assert (answer.body, answer.whole) == (STREAM, True)
     assert leaving.runs == []
+
+
+async def test_a_reader_that_cannot_be_reached_costs_no_attempt():
+    reader, runner = engines()
+    async with running(reader, runner) as scene:
+        reader.close()
+        answer = await scene.ask("/notes/1")
+    assert (answer.body, answer.whole) == (STREAM, True)
--- a/tests/host/test_steward.py
+++ b/tests/host/test_steward.py
@@ -1,11 +1,8 @@
 """Orders are given by one host, after a report, and not again in doubt."""
 
 import asyncio
-import contextlib
-import json
 
-from lacewinglug.host.process import HostProcess
-from lacewinglug.platform.settings import decode_settings
+from tests.host.hosting import hosting
 from tests.platform.scene import Scene
 from tests.platform.standin import RunnerStandin
 
@@ -20,11 +17,8 @@
     ]
     scene = await Scene().open(*engines)
     scene.settings["Bounds"]["LeaseMs"] = 50
-    settings = decode_settings(json.dumps(scene.settings).encode())
-    process = HostProcess(settings=settings)
-    task = asyncio.create_task(process.run())
     try:
-        async with asyncio.timeout(40):
+        async with asyncio.timeout(40), hosting(scene.settings):
             while sum(len(engine.orders) for engine in engines) < 2:
                 await asyncio.sleep(0.02)
             await asyncio.sleep(0.5)
@@ -36,7 +30,4 @@
         assert {order["Holder"] for order in orders} == {"edge-1"}
         assert len(scene.store.topics["claims"]) == 1
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
         scene.close()
