--- a/lacewinglug/host/model.py
+++ b/lacewinglug/host/model.py
@@ -240,7 +240,6 @@
     :param retry_ratio: repeats allowed per request in a window.
     :param retry_slack: repeats allowed besides, over all hosts.
     :param retry_window_s: length of that window.
-    :param max_descriptors: descriptors of the process.
     """
 
     name: str
@@ -262,7 +261,6 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
-    max_descriptors: int = 4100
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -72,7 +72,8 @@
     """Read a host's identity, None where it cannot be read."""
     try:
         return _to_identity(msgspec.msgpack.decode(data, type=_IdentityMessage))
-    except msgspec.DecodeError:
+    except msgspec.DecodeError as error:
+        logger.warning("registered host cannot be read: %s", error)
         return None
 
 
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -1,7 +1,7 @@
 """Places a prompt on engines: where it is read, and where its stream runs."""
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from lacewinglug.host.distance import (
     ROUND_TRIP_S,
@@ -134,8 +134,6 @@
     profile: EngineProfile
     geography: Geography
     zone: str
-    can_fetch: bool = True
-    _accounts: Sequence[EngineAccount] = field(default_factory=tuple)
 
     def plan(
         self,
@@ -280,7 +278,7 @@
             new_tokens=job.tokens - own,
             cost_s=REREAD_COST_S * max(0, held - own),
         )
-        if not self.can_fetch or holder is None or holder is engine or held <= own:
+        if holder is None or holder is engine or held <= own:
             return alone
         move_s, move_cost_s = self._transfer(holder, engine, held - own)
         work_s = engine.reading_s(new_tokens=job.tokens - held, cached_tokens=held)
--- a/lacewinglug/platform/settings.py
+++ b/lacewinglug/platform/settings.py
@@ -31,10 +31,6 @@
     ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
 
 
-class _Limits(msgspec.Struct, rename="pascal"):
-    max_fds: int = 4100
-
-
 class _Store(msgspec.Struct, rename="pascal"):
     address: str
 
@@ -52,7 +48,6 @@
     # Control addresses of other hosts; only their IP part is used.
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def find_settings_path(environment: Mapping[str, str] = os.environ) -> Path:
@@ -106,5 +101,4 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window_s=bounds.budget_window_s,
-        max_descriptors=raw.limits.max_fds,
     )
--- a/lacewinglug/platform/store.py
+++ b/lacewinglug/platform/store.py
@@ -204,6 +204,7 @@
     try:
         return base64.b64decode(item.value, validate=True)
     except binascii.Error:
+        # Whoever reads the record logs that it cannot be read.
         return b""
 
 
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -39,7 +39,6 @@
         self._unread_bytes = 0
         self._paused = False
         self._exchange = False
-        self.exchanges = 0
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -111,7 +110,6 @@
             method=method, target=target, headers=[*headers, *framing]
         )
         self._exchange = True
-        self.exchanges += 1
         parts = [self._h11.send(request) or b""]
         if body:
             parts.append(self._h11.send(h11.Data(data=body)) or b"")
--- a/lacewinglug/wire/pool.py
+++ b/lacewinglug/wire/pool.py
@@ -33,12 +33,6 @@
     now_s: Callable[[], float]
     _idle: list[ClientConnection] = field(default_factory=list)
     _open: int = 0
-    opened: int = 0
-
-    @property
-    def open_connections(self) -> int:
-        """Number of connections in use or idle."""
-        return self._open
 
     async def acquire(self, *, timeout_s: float) -> ClientConnection:
         """Return a connection on which an exchange may begin.
@@ -58,7 +52,6 @@
         except BaseException:
             self._open -= 1
             raise
-        self.opened += 1
         return connection
 
     def release(self, connection: ClientConnection, headers: Headers) -> None:
