Let an engine that is cut off in a change hold up others for ten seconds only

The holder of the other engine polled the first while it drained; the path then went silent, and the last report, never aged, kept its service busy for the 300 s of a long change. Ruled out: the tenure of the second engine was held (its log line is there). Before: a new test of the turns fails without the bound. After: passes; the turns read only reports of runners that still report.

--- a/lacewinglug/steward/order_setup.py
+++ b/lacewinglug/steward/order_setup.py
@@ -47,7 +47,7 @@
     :param state: the replayed state.
     :param log: client of the log.
     :param known_hosts: returns what is known of the hosts.
-    :param reports: returns the last load report of each runner.
+    :param reports: returns the last load report of each runner that still reports.
     :param clock: source of time.
     :param metrics: counters.
     :param order_session: session made by ``make_order_session``.
--- a/lacewinglug/steward/orders.py
+++ b/lacewinglug/steward/orders.py
@@ -35,7 +35,7 @@
     :param clock: source of time.
     :param metrics: counters.
     :param roles: names the wanted roles.
-    :param reports: returns the last load report of each runner.
+    :param reports: returns the last load report of each runner that still reports.
     :param timings: intervals and deadlines.
     :param limits: how many engines change at once.
     """
--- a/lacewinglug/steward/poller.py
+++ b/lacewinglug/steward/poller.py
@@ -69,10 +69,6 @@
             report=report, received_at_s=self.clock.now_s()
         )
 
-    def latest(self) -> dict[str, LoadReport]:
-        """Return the last report of each runner."""
-        return {name: item.report for name, item in self.reports.items()}
-
     def fresh(self) -> dict[str, LoadReport]:
         """Return the last report of each runner that still reports."""
         horizon_s = self.clock.now_s() - FRESH_S
--- a/lacewinglug/steward/process.py
+++ b/lacewinglug/steward/process.py
@@ -183,7 +183,7 @@
             state=self.state,
             log=self.log,
             known_hosts=known_hosts.knowledge,
-            reports=self.poller.latest,
+            reports=self.poller.fresh,
             clock=self.clock,
             metrics=self.metrics,
             order_session=self.order_session,
--- a/lacewinglug/steward/turns.py
+++ b/lacewinglug/steward/turns.py
@@ -14,18 +14,42 @@
 BUSY_LIMIT_S = 300.0
 """An engine that is away for longer keeps the others waiting no more."""
 
+SILENT_LIMIT_S = 10.0
+"""An engine that was away and then reported nothing for this long keeps the others
+waiting no more: it is cut off or down, and whether its change ends cannot be seen.
+Longer than a change of role, in which an engine may not answer."""
+
+
+@dataclass(kw_only=True)
+class _Absence:
+    """An engine that takes no work under another holder.
+
+    :param since_s: monotonic time at which that was first reported, in seconds.
+    :param reported_s: monotonic time of its last report, in seconds.
+    """
+
+    since_s: float
+    reported_s: float
+
+    def keeps_waiting(self, now_s: float) -> bool:
+        """Return whether changes of other engines wait for this one."""
+        return (
+            now_s - self.since_s <= BUSY_LIMIT_S
+            and now_s - self.reported_s <= SILENT_LIMIT_S
+        )
+
 
 @dataclass(kw_only=True)
 class ServiceTurns:
     """Owns what the load reports show of changes under other holders.
 
     :param state: the replayed state.
-    :param reports: returns the last load report of each runner.
+    :param reports: returns the last load report of each runner that still reports.
     """
 
     state: ControlState
     reports: Callable[[], Mapping[str, LoadReport]]
-    _away_since_s: dict[str, float] = field(default_factory=dict)
+    _away: dict[str, _Absence] = field(default_factory=dict)
     _free_since_s: dict[str, float] = field(default_factory=dict)
     _places: dict[str, int] = field(default_factory=dict)
     _revision: int = -1
@@ -37,16 +61,22 @@
         :param now_s: monotonic time, in seconds.
         """
         fleet = self.state.fleet
-        busy = set()
         for name, report in self.reports().items():
-            if name not in fleet.runners:
+            if report.state == "ready":
+                self._away.pop(name, None)
                 continue
-            if report.state == "ready" or name in own or name in self.state.draining:
-                self._away_since_s.pop(name, None)
-                continue
-            since_s = self._away_since_s.setdefault(name, now_s)
-            if now_s - since_s <= BUSY_LIMIT_S:
-                busy.add(fleet.runners[name].service)
+            absence = self._away.setdefault(
+                name, _Absence(since_s=now_s, reported_s=now_s)
+            )
+            absence.reported_s = now_s
+        for name in set(self._away):
+            if name not in fleet.runners or name in own or name in self.state.draining:
+                del self._away[name]
+        busy = {
+            fleet.runners[name].service
+            for name, absence in self._away.items()
+            if absence.keeps_waiting(now_s)
+        }
         for service in fleet.services:
             if service in busy:
                 self._free_since_s.pop(service, None)
