Read the store through few hosts of a region, and send work to others once a region

And each told every placed prompt to every host of the other regions. Ways: fewer reads of each host (the bounds on leaving runners forbid it); one reader of all regions (one slow link decides for all); readers of each region that tell changes with a digest. The last is taken: a host that hears nothing for 1.2 s, or whose digest differs, reads by itself, so the age of a view stays bounded.

--- a/lacewinglug/host/fleet.py
+++ b/lacewinglug/host/fleet.py
@@ -25,7 +25,7 @@
     _by_service: dict[str, tuple[RunnerEntry, ...]] = field(default_factory=dict)
     _drained: dict[str, int] = field(default_factory=dict)
     _away: bool = False
-    _returned_s: float | None = None
+    _grace_until_s: float = float("-inf")
 
     @property
     def known(self) -> bool:
@@ -45,14 +45,26 @@
             )
         self._away = True
 
-    def update(self, entries: Iterable[RunnerEntry], *, now_s: float) -> None:
-        """Take what the store holds now."""
+    def grace_left_s(self, now_s: float) -> float:
+        """Return for how long entries that are missing may still come back, in s."""
+        return max(0.0, self._grace_until_s - now_s)
+
+    def update(
+        self, entries: Iterable[RunnerEntry], *, now_s: float, grace_s: float = 0.0
+    ) -> None:
+        """Take what the store holds now.
+
+        :param grace_s: time in which entries that lapsed in an outage of the store
+            come back, as the host that has read them knows it.
+        """
         if self._away:
             self._away = False
-            self._returned_s = now_s
+            grace_s = max(grace_s, REGISTRATION_GRACE_S)
             logger.info("store regained")
+        if grace_s > 0:
+            self._grace_until_s = max(self._grace_until_s, now_s + grace_s)
         fresh = {item.instance: self._settle(item) for item in entries}
-        if self._within_grace(now_s):
+        if now_s <= self._grace_until_s:
             for instance, entry in self._entries.items():
                 fresh.setdefault(instance, entry)
         self._log_changes(fresh)
@@ -82,14 +94,6 @@
             return entry
         return self._entries[entry.instance]
 
-    def _within_grace(self, now_s: float) -> bool:
-        if self._returned_s is None:
-            return False
-        if now_s - self._returned_s <= REGISTRATION_GRACE_S:
-            return True
-        self._returned_s = None
-        return False
-
     def _log_changes(self, fresh: dict[str, RunnerEntry]) -> None:
         for instance in self._entries.keys() - fresh.keys():
             logger.info("runner left", extra={"runner": instance})
--- a/lacewinglug/host/hosts.py
+++ b/lacewinglug/host/hosts.py
@@ -15,6 +15,10 @@
 """Time without a beat after which a host is forgotten, in s."""
 FEW_ADDRESSES = 2
 """Addresses of the client's own surroundings that are enough for it."""
+HOSTS_PER_READER = 4
+"""Hosts of a region for each one that reads the store for all of them."""
+MOST_READERS = 2
+"""Most hosts of a region that do so; the second covers the loss of the first."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,6 +47,7 @@
     ready: bool = False
     leaving: bool = False
     knows_caches: bool = False
+    reads_store: bool = False
     heard_s: float | None = None
 
 
@@ -79,10 +84,12 @@
         leaving: bool,
         now_s: float,
         knows_caches: bool = False,
+        reads_store: bool = False,
     ) -> bool:
         """Take a beat; return whether the host was new.
 
         :param knows_caches: whether it knows what engines keep in their caches.
+        :param reads_store: whether the store answers it.
         """
         new = self.learn(identity)
         host = self._hosts.get(identity.name)
@@ -96,6 +103,7 @@
         host.ready = ready
         host.leaving = host.leaving or leaving
         host.knows_caches = knows_caches
+        host.reads_store = reads_store
         host.heard_s = now_s
         return new
 
@@ -125,6 +133,42 @@
             and now_s - host.heard_s <= SILENCE_S
         ]
 
+    def region_peers(self) -> list[HostIdentity]:
+        """Return the other hosts of this host's region that are known."""
+        return [
+            host.identity
+            for host in self._hosts.values()
+            if self.geography.distance(self.own.zone, host.identity.zone)
+            < Distance.OTHER_REGION
+        ]
+
+    def far_peers(self) -> dict[str, list[HostIdentity]]:
+        """Return the other hosts that are known, by each other region."""
+        regions: dict[str, list[HostIdentity]] = {}
+        for host in self._hosts.values():
+            zone = host.identity.zone
+            if self.geography.distance(self.own.zone, zone) is Distance.OTHER_REGION:
+                region = self.geography.regions.get(zone, zone)
+                regions.setdefault(region, []).append(host.identity)
+        return regions
+
+    def is_store_reader(self, *, now_s: float) -> bool:
+        """Return whether this host reads the store for those of its region.
+
+        The first by name do so, of those that live and that the store answers.
+        """
+        earlier = 0
+        others = 0
+        for identity in self.region_peers():
+            host = self._hosts[identity.name]
+            if host.heard_s is None or now_s - host.heard_s > SILENCE_S:
+                continue
+            others += 1
+            if host.reads_store and not host.leaving and identity.name < self.own.name:
+                earlier += 1
+        readers = min(MOST_READERS, 1 + others // HOSTS_PER_READER)
+        return earlier < readers
+
     def caches_known_elsewhere(self, *, now_s: float) -> bool:
         """Return whether another host that lives knows what engines keep."""
         return any(
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from lacewinglug.host.distance import Distance, Geography
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.residency import KeyedPart
+from lacewinglug.host.sharing import ViewUpdate
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +29,9 @@
 """Most entries in a datagram, which stays below one packet of the network."""
 MOST_PARTS_A_DATAGRAM = 90
 """Most cached parts in a datagram, for the same reason."""
+FORWARDED_FROM = 4
+"""Hosts of another region from which on one of them hands a datagram on to the rest,
+since bytes between regions are paid by volume."""
 _TOLD_PEERS = 40
 
 
@@ -57,6 +60,9 @@
     switching: list[str] = []
     streams: dict[str, int] = {}
     knows_caches: bool = False
+    reads_store: bool = False
+    view: ViewUpdate | None = None
+    forward: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(_Datagram)
@@ -84,11 +90,13 @@
     :param ready: whether clients may be sent to it.
     :param leaving: whether it is about to end.
     :param knows_caches: whether it knows what engines keep in their caches.
+    :param reads_store: whether the store answers it.
     """
 
     ready: bool
     leaving: bool
     knows_caches: bool
+    reads_store: bool = False
 
 
 @dataclass(kw_only=True)
@@ -96,26 +104,27 @@
     """Owns the socket between hosts.
 
     :param table: hosts; beats are noted there.
-    :param geography: regions of the availability zones.
     :param on_work: called with the work that another host gave to an engine.
     :param own_state: returns what this host says of itself.
     :param own_streams: returns how many streams this host runs at each engine.
     :param on_streams: called with another host and its streams at each engine.
     :param on_new_host: called with a host that was heard for the first time.
     :param on_switching: called with an engine that is about to change its stage.
+    :param on_view: called with what another host of the region has read.
     """
 
     table: HostTable
-    geography: Geography
     on_work: Callable[[EngineWork], None]
     own_state: Callable[[], OwnState]
     on_switching: Callable[[str], None] = lambda _: None
     on_new_host: Callable[[HostIdentity], None] = lambda _: None
+    on_view: Callable[[ViewUpdate], None] = lambda _: None
     own_streams: Callable[[], dict[str, int]] = dict
     on_streams: Callable[[str, dict[str, int]], None] = lambda _host, _counts: None
     _transport: asyncio.DatagramTransport | None = None
     _pending: list[EngineWork] = field(default_factory=list)
     _beats: int = 0
+    _turn: int = 0
 
     async def open(self) -> None:
         """Bind the socket.
@@ -151,6 +160,11 @@
         data = _encoder.encode(_Datagram(switching=[instance]))
         self._send_all(data, self.table.peers)
 
+    def tell_view(self, update: ViewUpdate) -> None:
+        """Tell the hosts of the same region what was read in the store."""
+        data = _encoder.encode(_Datagram(view=update))
+        self._send_all(data, self.table.region_peers())
+
     async def send_batches(self) -> None:
         """Tell the others the collected work, until cancelled."""
         while True:
@@ -159,8 +173,9 @@
             while self._pending:
                 batch = self._pending[:MOST_WORK_A_DATAGRAM]
                 del self._pending[:MOST_WORK_A_DATAGRAM]
-                data = _encoder.encode(_Datagram(work=[_work(item) for item in batch]))
-                self._send_all(data, self.table.peers)
+                message = _Datagram(work=[_work(item) for item in batch])
+                self._send_all(_encoder.encode(message), self.table.region_peers())
+                self._send_far(message)
 
     async def send_beats(self) -> None:
         """Tell the others that this host lives, until cancelled."""
@@ -175,20 +190,19 @@
         :param urgent: send it to other regions too, out of turn.
         """
         self._beats += 1
-        far = urgent or self._beats % FAR_BEAT_EVERY == 0
-        own = self.table.own
-        peers = [
-            peer
-            for peer in self.table.peers
-            if far
-            or self.geography.distance(own.zone, peer.zone) < Distance.OTHER_REGION
-        ]
-        self._send_all(self._encode_beat(), peers)
+        far = self._beats % FAR_BEAT_EVERY == 0
+        message = self._make_beat()
+        peers = self.table.peers if urgent else self.table.region_peers()
+        self._send_all(_encoder.encode(message), peers)
+        if far and not urgent:
+            self._send_far(message)
 
     def greet(self, ip: str) -> None:
         """Send a beat to an address at which a host may listen."""
         if self._transport is not None and ip != self.table.own.ip:
-            self._transport.sendto(self._encode_beat(), (ip, self.table.own.peer_port))
+            self._transport.sendto(
+                _encoder.encode(self._make_beat()), (ip, self.table.own.peer_port)
+            )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a datagram of another host."""
@@ -197,10 +211,15 @@
         except msgspec.DecodeError as error:
             logger.warning("datagram of %s cannot be read: %s", addr[0], error)
             return
+        if message.forward:
+            again = msgspec.structs.replace(message, forward=False)
+            self._send_all(_encoder.encode(again), self.table.region_peers())
         for item in message.work:
             self.on_work(_to_work(item))
         for instance in message.switching:
             self.on_switching(instance)
+        if message.view is not None:
+            self.on_view(message.view)
         for other in message.others:
             if self.table.learn(_to_identity(other)):
                 self.greet(other.ip)
@@ -216,11 +235,12 @@
             ready=message.ready,
             leaving=message.leaving,
             knows_caches=message.knows_caches,
+            reads_store=message.reads_store,
             now_s=now_s,
         )
         if new and self._transport is not None:
             others = [_to_message(peer) for peer in self.table.peers[:_TOLD_PEERS]]
-            data = self._encode_beat(others)
+            data = _encoder.encode(self._make_beat(others))
             self._transport.sendto(data, (identity.ip, identity.peer_port))
             self.on_new_host(identity)
 
@@ -238,19 +258,31 @@
                 message = _Datagram(work=[_work(replace(item, parts=parts))])
                 self._send_all(_encoder.encode(message), peers)
 
-    def _encode_beat(self, others: Iterable[_IdentityMessage] = ()) -> bytes:
+    def _make_beat(self, others: Iterable[_IdentityMessage] = ()) -> _Datagram:
         state = self.own_state()
-        return _encoder.encode(
-            _Datagram(
-                sender=_to_message(self.table.own),
-                ready=state.ready,
-                leaving=state.leaving,
-                knows_caches=state.knows_caches,
-                others=list(others),
-                streams=self.own_streams(),
-            )
+        return _Datagram(
+            sender=_to_message(self.table.own),
+            ready=state.ready,
+            leaving=state.leaving,
+            knows_caches=state.knows_caches,
+            reads_store=state.reads_store,
+            others=list(others),
+            streams=self.own_streams(),
         )
 
+    def _send_far(self, message: _Datagram) -> None:
+        """Send a datagram to all other regions, to large ones through one host.
+
+        Each takes its turn, so that a host that is down swallows few of them.
+        """
+        self._turn += 1
+        forwarded = _encoder.encode(msgspec.structs.replace(message, forward=True))
+        for peers in self.table.far_peers().values():
+            if len(peers) < FORWARDED_FROM:
+                self._send_all(_encoder.encode(message), peers)
+            else:
+                self._send_all(forwarded, [peers[self._turn % len(peers)]])
+
     def _send_all(self, data: bytes, peers: Iterable[HostIdentity]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -90,17 +90,18 @@
         self.table = HostTable(own=own, geography=self.state.geography)
         self._peers = PeerLink(
             table=self.table,
-            geography=self.state.geography,
             on_work=self._take_work,
             own_state=lambda: OwnState(
                 ready=self.ready,
                 leaving=self.leaving,
                 knows_caches=self._caches.done,
+                reads_store=self._watch.reads_store,
             ),
             on_switching=self._take_switching,
             own_streams=self.state.own_streams,
             on_streams=self._take_streams,
             on_new_host=lambda host: self._caches.welcome(host),
+            on_view=lambda update: self._watch.take_view(update),
         )
         store = StoreClient(address=settings.store_address)
         self._watch = StoreWatch(
@@ -110,6 +111,7 @@
             hosts=self.table,
             peers=self._peers,
             now_s=self.state.now_s,
+            tell=self._peers.tell_view,
             on_failure=lambda what: self._metrics.store_failures.labels(what).inc(),
         )
         self._caches = CacheLearner(
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -1,9 +1,14 @@
-"""Follows configuration and runners in the store, and registers this host."""
+"""Follows configuration and runners in the store, and registers this host.
+
+A few hosts of each region read the store and tell the others what they read. A host
+that hears nothing new for a while reads by itself.
+"""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from lacewinglug.errors import PlatformError
 from lacewinglug.host.fleet import FleetView
@@ -11,6 +16,7 @@
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.peers import PeerLink, decode_identity, encode_identity
 from lacewinglug.host.routes import RouteTable
+from lacewinglug.host.sharing import SharedEntries, ViewUpdate
 from lacewinglug.platform.records import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
@@ -28,12 +34,19 @@
 RUNNERS_EVERY_S = 0.8
 """Time between reads of the runners, in s; a third of the shortest time after
 which a leaving runner may get no request."""
+HEARD_LIMIT_S = 1.2
+"""Time after which a host that was told nothing reads the store by itself, in s; one
+and a half reads of another host, and half of the shortest time after which a leaving
+runner may get no request."""
 CONFIGURATION_WAIT_S = 2.0
 """Longest wait of the store for a new configuration, in s; a connection that has
 gone silent is found after this and the store's timeout, which together are
 shorter than the four seconds after which the rules bind a host again."""
 HOSTS_EVERY_S = 15.0
 """Time between reads of the registered hosts, in s; beats find new ones sooner."""
+HOSTS_EVERY_TOLD_S = 60.0
+"""That time at hosts that are told what others read, in s; as long as a silent host
+is remembered, after which a parted region would not be found again."""
 FIRST_RETRY_S = 0.25
 """Pause after a failed call to the store, in s; doubles."""
 LONGEST_RETRY_S = 1.0
@@ -51,6 +64,9 @@
     :param hosts: takes registered hosts.
     :param peers: greets hosts that are new.
     :param now_s: returns monotonic seconds.
+    :param tell: tells the hosts of the region what was read.
+    :param on_failure: called with what a failed call was for.
+    :param reads_store: whether the store answered the last read of runners.
     """
 
     store: StoreClient
@@ -59,22 +75,48 @@
     hosts: HostTable
     peers: PeerLink
     now_s: Callable[[], float]
+    tell: Callable[[ViewUpdate], None] = lambda _: None
     on_failure: Callable[[str], None] = lambda _: None
+    reads_store: bool = False
     _unreadable: frozenset[str] = frozenset()
+    _shared: SharedEntries = field(default_factory=SharedEntries)
+    _heard_s: float = float("-inf")
+    _offset: int | None = None
+    _told_offset: int | None = None
+    _differs: bool = False
+    _runner_news: asyncio.Event = field(default_factory=asyncio.Event)
+    _configuration_news: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def take_view(self, update: ViewUpdate) -> None:
+        """Take what another host of the region has read."""
+        read_s = self.now_s() - update.age_s
+        self._heard_s = max(self._heard_s, read_s)
+        self._told_offset = update.configuration_offset
+        if self._is_behind():
+            self._configuration_news.set()
+        if self.fleet.read_s is None or read_s < self.fleet.read_s:
+            return
+        if self._shared.apply(update):
+            self.fleet.update(
+                self._shared.entries, now_s=read_s, grace_s=update.grace_s
+            )
+        else:
+            self._differs = True
+            self._runner_news.set()
 
     async def follow_configuration(self) -> None:
         """Apply each new configuration, until cancelled."""
         retry_s = FIRST_RETRY_S
-        end_offset: int | None = None
         while True:
             try:
-                if end_offset is None or await self._configuration_changed(end_offset):
-                    end_offset = await self._read_configuration()
+                if await self._configuration_changed():
+                    self._offset = await self._read_configuration()
+                    self._tell_view(self._shared.summary())
                 retry_s = FIRST_RETRY_S
             except StoreError as error:
                 self._note_failure("configuration", error)
                 # After an outage the newest record is read whatever was missed.
-                end_offset = None
+                self._offset = None
                 await asyncio.sleep(retry_s)
                 retry_s = min(2 * retry_s, LONGEST_RETRY_S)
 
@@ -82,13 +124,51 @@
         """Read the runners again and again, until cancelled."""
         while True:
             started_s = self.now_s()
-            try:
-                await self.read_runners()
-            except StoreError as error:
-                self._note_failure("runners", error)
-                self.fleet.note_unavailable(now_s=self.now_s())
-            passed_s = self.now_s() - started_s
-            await asyncio.sleep(max(FIRST_RETRY_S, RUNNERS_EVERY_S - passed_s))
+            if not self._is_told(started_s) or self._differs:
+                try:
+                    self._tell_view(await self.read_runners())
+                except StoreError as error:
+                    self.reads_store = False
+                    self._note_failure("runners", error)
+                    self.fleet.note_unavailable(now_s=self.now_s())
+            await self._wait_for_runners(started_s)
+
+    async def _wait_for_runners(self, started_s: float) -> None:
+        """Wait until the runners are to be looked at again."""
+        now_s = self.now_s()
+        if self._is_told(now_s):
+            pause_s = self._heard_s + HEARD_LIMIT_S - now_s
+        else:
+            pause_s = started_s + RUNNERS_EVERY_S - now_s
+        self._runner_news.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(FIRST_RETRY_S, pause_s)):
+                await self._runner_news.wait()
+
+    def _is_told(self, now_s: float) -> bool:
+        """Return whether other hosts tell this one what they read."""
+        if not self.fleet.known or now_s - self._heard_s >= HEARD_LIMIT_S:
+            return False
+        return not (self.reads_store and self.hosts.is_store_reader(now_s=now_s))
+
+    def _is_behind(self) -> bool:
+        """Return whether another host knows a later configuration."""
+        if self._told_offset is None:
+            return False
+        return self._offset is None or self._told_offset > self._offset
+
+    def _tell_view(self, update: ViewUpdate) -> None:
+        """Tell the hosts of the region what was read, if this host is to do so."""
+        now_s = self.now_s()
+        if self.fleet.known and self.hosts.is_store_reader(now_s=now_s):
+            self.tell(
+                replace(
+                    update,
+                    age_s=self.fleet.age_s(now_s),
+                    grace_s=self.fleet.grace_left_s(now_s),
+                    configuration_offset=self._offset,
+                )
+            )
 
     async def follow_hosts(self) -> None:
         """Register this host, then read the others now and then."""
@@ -101,7 +181,8 @@
                     registered = True
                 await self._read_hosts()
                 retry_s = FIRST_RETRY_S
-                await asyncio.sleep(HOSTS_EVERY_S)
+                told = self._is_told(self.now_s())
+                await asyncio.sleep(HOSTS_EVERY_TOLD_S if told else HOSTS_EVERY_S)
             except StoreError as error:
                 self._note_failure("hosts", error)
                 await asyncio.sleep(retry_s)
@@ -114,11 +195,12 @@
         except PlatformError as error:
             logger.warning("host stays registered: %s", error)
 
-    async def read_runners(self) -> None:
-        """Read the runners once.
+    async def read_runners(self) -> ViewUpdate:
+        """Read the runners once; return what has changed.
 
         :raises StoreError: the store did not answer.
         """
+        started_s = self.now_s()
         snapshot = await self.store.read_newest(RUNNERS_TOPIC)
         entries: list[RunnerEntry] = []
         unreadable = set()
@@ -130,11 +212,24 @@
                 if instance not in self._unreadable:
                     logger.warning("runner left out: %s", error)
         self._unreadable = frozenset(unreadable)
-        self.fleet.update(entries, now_s=self.now_s())
+        self.fleet.update(entries, now_s=started_s)
+        self.reads_store = True
+        self._differs = False
+        return self._shared.replace(entries)
 
-    async def _configuration_changed(self, end_offset: int) -> bool:
+    async def _configuration_changed(self) -> bool:
+        """Wait a while; return whether the configuration is to be read."""
+        if self._offset is None:
+            return True
+        if self._told_offset is not None and self._is_told(self.now_s()):
+            self._configuration_news.clear()
+            if not self._is_behind():
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(HEARD_LIMIT_S):
+                        await self._configuration_news.wait()
+            return self._is_behind()
         return await self.store.wait_for_records(
-            CONFIGURATION_TOPIC, from_offset=end_offset, wait_s=CONFIGURATION_WAIT_S
+            CONFIGURATION_TOPIC, from_offset=self._offset, wait_s=CONFIGURATION_WAIT_S
         )
 
     async def _read_configuration(self) -> int:
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -21,7 +21,6 @@
     table = make_table()
     link = PeerLink(
         table=table,
-        geography=table.geography,
         on_work=lambda _: None,
         own_state=lambda: OwnState(ready=True, leaving=False, knows_caches=True),
     )
