Believe that an engine reads a prompt to its end before it takes the next

Cause: the wait at a reading engine was computed as if urgent prompts cut in. The rank is logged with each placement.

--- a/lacewinglug/host/backlog.py
+++ b/lacewinglug/host/backlog.py
@@ -1,5 +1,6 @@
 """When an engine will have read the prompts that it was given."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 PRIORITIES = 10
@@ -8,19 +9,42 @@
 
 @dataclass(kw_only=True, slots=True)
 class ReadingBacklog:
-    """Owns the believed end of the reading at one engine, for each rank.
+    """Owns the prompts that one engine is believed to have to read.
 
-    Work of a rank delays that rank and all less urgent ones.
+    An engine reads a prompt to its end before it takes the next, the most urgent
+    first. So even the most urgent prompt waits for the one that is being read.
     """
 
-    _until_s: list[float] = field(default_factory=lambda: [0.0] * PRIORITIES)
+    _busy_until_s: float = 0.0
+    _waiting: tuple[deque[float], ...] = field(
+        default_factory=lambda: tuple(deque() for _ in range(PRIORITIES))
+    )
+    _waiting_s: list[float] = field(default_factory=lambda: [0.0] * PRIORITIES)
 
     def wait_s(self, priority: int, *, now_s: float) -> float:
         """Return how long a new prompt of a rank waits."""
-        return max(0.0, self._until_s[priority] - now_s)
+        self._advance(now_s)
+        return max(0.0, self._busy_until_s - now_s) + sum(
+            self._waiting_s[: priority + 1]
+        )
 
     def add(self, priority: int, work_s: float, *, now_s: float) -> None:
         """Note a prompt that takes some time to read."""
-        until_s = self._until_s
-        for rank in range(priority, PRIORITIES):
-            until_s[rank] = max(until_s[rank], now_s) + work_s
+        self._advance(now_s)
+        if self._busy_until_s <= now_s:
+            self._busy_until_s = now_s + work_s
+            return
+        self._waiting[priority].append(work_s)
+        self._waiting_s[priority] += work_s
+
+    def _advance(self, now_s: float) -> None:
+        """Take the next prompts, as far as the engine has come."""
+        while self._busy_until_s <= now_s:
+            rank = next((r for r, jobs in enumerate(self._waiting) if jobs), None)
+            if rank is None:
+                return
+            work_s = self._waiting[rank].popleft()
+            self._waiting_s[rank] = (
+                self._waiting_s[rank] - work_s if self._waiting[rank] else 0.0
+            )
+            self._busy_until_s += work_s
--- a/lacewinglug/host/placing.py
+++ b/lacewinglug/host/placing.py
@@ -76,7 +76,9 @@
             plan = self._plan(context, view, job, allow_split=allow_split)
         if plan is None:
             return None
-        context.story.add("place", now_s=view.now_s, **_describe(plan))
+        context.story.add(
+            "place", now_s=view.now_s, rank=job.priority, **_describe(plan)
+        )
         return Placement(plan=plan, rank=job.priority)
 
     def place_transfer(
