Soak real hosts under random faults, and log where the view of runners comes from

The soak plays real hosts as processes between stand-ins and relays: kills, pauses, stops in a row, reloads, configurations, crashed, spoiled and drained runners, a store that refuses or is silent, paths that are slow, cut, one-way or silent. It checks whole answers to their own requests, runs at most once, true refusals, cuts without a fault near, ends of processes and service afterwards.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 TEST_WORKERS := 4
+SEED ?= 1
+SEEDS ?= 10
 
-.PHONY: demo test lint format bench capacity env
+.PHONY: demo test lint format bench capacity soak env
 
 env: $(VENV)/.installed
 
@@ -33,3 +35,6 @@
 
 capacity: env
 	$(BIN)/python -m bench.capacity
+
+soak: env
+	$(BIN)/python -m tests.soak --first $(SEED) --seeds $(SEEDS)
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -84,6 +84,7 @@
     _offset: int | None = None
     _told_offset: int | None = None
     _differs: bool = False
+    _told: bool | None = None
     _runner_news: asyncio.Event = field(default_factory=asyncio.Event)
     _configuration_news: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -124,7 +125,9 @@
         """Read the runners again and again, until cancelled."""
         while True:
             started_s = self.now_s()
-            if not self._is_told(started_s) or self._differs:
+            told = self._is_told(started_s)
+            self._note_source(told)
+            if not told or self._differs:
                 try:
                     self._tell_view(await self.read_runners())
                 except StoreError as error:
@@ -133,6 +136,13 @@
                     self.fleet.note_unavailable(now_s=self.now_s())
             await self._wait_for_runners(started_s)
 
+    def _note_source(self, told: bool) -> None:
+        """Log whether the view comes from the store or from other hosts."""
+        if told is not self._told:
+            source = "hosts of the region" if told else "store"
+            logger.info("source of the view changed", extra={"source": source})
+            self._told = told
+
     async def _wait_for_runners(self, started_s: float) -> None:
         """Wait until the runners are to be looked at again."""
         now_s = self.now_s()
--- a/lacewinglug/standin/relay.py
+++ b/lacewinglug/standin/relay.py
@@ -1,4 +1,4 @@
-"""Stand-in of a network path: a TCP relay that can go silent or be cut."""
+"""Stand-in of a network path: a TCP relay that is slow, goes silent or is cut."""
 
 import asyncio
 import contextlib
@@ -9,9 +9,10 @@
 
 
 class PathState(Enum):
-    """What the relay does with a connection."""
+    """What the relay does with a connection; one way, no answer comes back."""
 
     FORWARD = "forward"
+    ONE_WAY = "one_way"
     SILENT = "silent"
     CUT = "cut"
 
@@ -22,10 +23,12 @@
 
     :param port: port to listen on.
     :param target_port: port to connect to.
+    :param delay_s: time by which all bytes are held up, in seconds.
     """
 
     port: int
     target_port: int
+    delay_s: float = 0.0
     state: PathState = PathState.FORWARD
     accepted: int = 0
     _silenced: set[int] = field(default_factory=set)
@@ -70,20 +73,33 @@
         self._writers[number] = [writer, far_writer]
         try:
             await asyncio.gather(
-                self._copy(number, reader, far_writer),
-                self._copy(number, far_reader, writer),
+                self._copy(number, reader, far_writer, to_target=True),
+                self._copy(number, far_reader, writer, to_target=False),
             )
         finally:
             del self._writers[number]
 
     async def _copy(
-        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        to_target: bool,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(_CHUNK_BYTES):
-                if number in self._silenced or self.state is PathState.SILENT:
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if number in self._silenced or self._swallows(to_target=to_target):
                     continue
                 writer.write(data)
                 await writer.drain()
         if number not in self._silenced:
             writer.close()
+
+    def _swallows(self, *, to_target: bool) -> bool:
+        """Return whether bytes of a direction are lost now."""
+        if self.state is PathState.ONE_WAY:
+            return not to_target
+        return self.state is PathState.SILENT
