Tell a read of the store with its real age, and believe the later of two configurations

Cause, found by reading: a reader that is suspended during a read wakes with an old answer and, as the steady clock stood still, told it to its region as new; a runner that had left meanwhile could come back there for a moment. And of two readers the one that lagged could hide a configuration that the other had told. Ruled out: a reader that is only stopped; the steady clock goes on, and the old age is refused.

--- a/lacewinglug/clock.py
+++ b/lacewinglug/clock.py
@@ -5,6 +5,11 @@
 from typing import Protocol
 
 
+def read_boot_time_s() -> float:
+    """Return seconds since the host booted, time asleep included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Source of time for one process."""
 
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -2,12 +2,12 @@
 
 import logging
 import math
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import msgspec
 
+from lacewinglug.clock import read_boot_time_s
 from lacewinglug.platform.store import StoreClient, StoreError
 
 logger = logging.getLogger(__name__)
@@ -24,11 +24,6 @@
 """Time that a holder which was superseded claims nothing, in s; several leases."""
 
 
-def read_boot_time_s() -> float:
-    """Return seconds since the host booted, time asleep included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class _Claim(msgspec.Struct, array_like=True):
     host: str
     incarnation: int
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from lacewinglug.clock import read_boot_time_s
 from lacewinglug.errors import PlatformError
 from lacewinglug.host.fleet import FleetView
 from lacewinglug.host.hosts import HostTable
@@ -64,6 +65,7 @@
     :param hosts: takes registered hosts.
     :param peers: greets hosts that are new.
     :param now_s: returns monotonic seconds.
+    :param boot_time_s: returns seconds that go on while the host is suspended.
     :param tell: tells the hosts of the region what was read.
     :param on_failure: called with what a failed call was for.
     :param reads_store: whether the store answered the last read of runners.
@@ -75,11 +77,13 @@
     hosts: HostTable
     peers: PeerLink
     now_s: Callable[[], float]
+    boot_time_s: Callable[[], float] = read_boot_time_s
     tell: Callable[[ViewUpdate], None] = lambda _: None
     on_failure: Callable[[str], None] = lambda _: None
     reads_store: bool = False
     _unreadable: frozenset[str] = frozenset()
     _shared: SharedEntries = field(default_factory=SharedEntries)
+    _asked_at_s: float = float("-inf")
     _heard_s: float = float("-inf")
     _offset: int | None = None
     _told_offset: int | None = None
@@ -92,7 +96,7 @@
         """Take what another host of the region has read."""
         read_s = self.now_s() - update.age_s
         self._heard_s = max(self._heard_s, read_s)
-        self._told_offset = update.configuration_offset
+        self._note_offset(update.configuration_offset)
         if self._is_behind():
             self._configuration_news.set()
         if self.fleet.read_s is None or read_s < self.fleet.read_s:
@@ -105,6 +109,16 @@
             self._differs = True
             self._runner_news.set()
 
+    def _note_offset(self, offset: int | None) -> None:
+        """Note the end of the configuration's topic, as a reader tells it.
+
+        Of two readers, the one that knows the later end is believed.
+        """
+        if offset is None or self._told_offset is None:
+            self._told_offset = offset
+        else:
+            self._told_offset = max(self._told_offset, offset)
+
     async def follow_configuration(self) -> None:
         """Apply each new configuration, until cancelled."""
         retry_s = FIRST_RETRY_S
@@ -171,10 +185,12 @@
         """Tell the hosts of the region what was read, if this host is to do so."""
         now_s = self.now_s()
         if self.fleet.known and self.hosts.is_store_reader(now_s=now_s):
+            # A host that was suspended during the read has an old answer.
+            age_s = self.boot_time_s() - self._asked_at_s
             self.tell(
                 replace(
                     update,
-                    age_s=self.fleet.age_s(now_s),
+                    age_s=age_s,
                     grace_s=self.fleet.grace_left_s(now_s),
                     configuration_offset=self._offset,
                 )
@@ -210,7 +226,7 @@
 
         :raises StoreError: the store did not answer.
         """
-        started_s = self.now_s()
+        started_s, asked_at_s = self.now_s(), self.boot_time_s()
         snapshot = await self.store.read_newest(RUNNERS_TOPIC)
         entries: list[RunnerEntry] = []
         unreadable = set()
@@ -223,6 +239,7 @@
                     logger.warning("runner left out: %s", error)
         self._unreadable = frozenset(unreadable)
         self.fleet.update(entries, now_s=started_s)
+        self._asked_at_s = asked_at_s
         self.reads_store = True
         self._differs = False
         return self._shared.replace(entries)
--- a/tests/host/test_watch.py
+++ b/tests/host/test_watch.py
@@ -61,6 +61,7 @@
     def __init__(self, own="b"):
         loop = asyncio.get_running_loop()
         self.now_s = loop.time
+        self.suspended_s = 0.0
         self.store = FakeStore()
         self.told = []
         self.table = HostTable(
@@ -74,6 +75,7 @@
             hosts=self.table,
             peers=None,
             now_s=self.now_s,
+            boot_time_s=lambda: self.now_s() + self.suspended_s,
             tell=self.told.append,
         )
         self.other = SharedEntries()
@@ -233,3 +235,43 @@
     await scene.follow(USUAL_S, told=True)
     assert scene.fleet.age_s(scene.now_s()) <= HEARD_LIMIT_S
     assert scene.store.calls - calls <= USUAL_S
+
+
+@on_virtual_time
+async def test_a_read_that_a_suspension_interrupts_is_told_as_old():
+    scene = Scene(own="0")
+    read_newest = scene.store.read_newest
+
+    async def read_slowly(topic):
+        snapshot = await read_newest(topic)
+        scene.suspended_s += 5.0
+        return snapshot
+
+    await scene.follow(2.0, told=False)
+    scene.store.read_newest = read_slowly
+    scene.told.clear()
+    await scene.follow(1.0, told=False)
+    assert min(update.age_s for update in scene.told) >= 5.0
+
+
+@on_virtual_time
+async def test_an_old_read_brings_no_runner_back():
+    scene = Scene()
+    await asyncio.sleep(10.0)
+    runner = make_runner("a")
+    scene.fleet.update([], now_s=scene.now_s())
+    scene.watch.take_view(scene.update([runner], age_s=5.0))
+    assert scene.fleet.entries == ()
+
+
+@on_virtual_time
+async def test_the_later_of_two_configurations_is_believed():
+    scene = Scene()
+    await scene.follow(2.0, told=True)
+    earlier = scene.update()
+    scene.store.end_offset += 1
+    scene.watch.take_view(scene.update())
+    scene.watch.take_view(earlier)
+    calls = scene.store.calls
+    await scene.follow(0.5, told=True)
+    assert scene.store.calls > calls
