Give an entry the share of the capacity that its share of the work has

Cause: admission gave every entry an even part of the runners' time. A short stall of the sender makes the next arrivals a burst, which was taken for a crest. Ruled out: a restarted entry without load reports, and callers left with addresses of leaving entries; every refusal named the admission.

The new unit test fails without the change (19 refused).

--- a/lacewinglug/routing/phases.py
+++ b/lacewinglug/routing/phases.py
@@ -78,11 +78,22 @@
             prefill.work_s - self._mean_prefill_s
         )
         self._mean_decode_s += _WORK_SAMPLE_WEIGHT * (slot.work_s - self._mean_decode_s)
-        share = 1.0 / entries
+        share = self._share(records, entries)
         return self._prefill.admit(
             prefill, capacity=capacity.prefill * share, now_s=now_s
         ) and self._slots.admit(slot, capacity=capacity.decode * share, now_s=now_s)
 
+    def _share(self, records: Collection[RunnerRecord], entries: int) -> float:
+        """Return the share of the runners' time that this entry may use.
+
+        Callers are not spread evenly over the entries: an entry that carries more
+        of the running requests than others has a right to more of the time.
+        """
+        loads = [(item.ledger.in_flight, item.ledger.estimate()) for item in records]
+        own = sum(in_flight for in_flight, _ in loads)
+        total = sum(load.in_flight for _, load in loads)
+        return max(1.0 / entries, own / total if total else 0.0)
+
     def _capacity(self, records: Collection[RunnerRecord], now_s: float) -> Capacity:
         """Return the runner time for each phase, in seconds a second."""
         age_s = now_s - self._capacity_at_s
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -131,3 +131,36 @@
     policy.note_report("runner-0", make_report("decode"), sampled_s=1.0)
     decision = policy.decide(make_profile(prefix_hashes=(1,)), now_s=1.1)
     assert decision.runner.cached_pieces == 0
+
+
+def test_an_entry_that_carries_all_the_load_may_use_all_the_capacity():
+    """All callers use one entry of four, and a pause of theirs ends in a burst."""
+    policy = make_policy(3, entries=4)
+    arrivals_s = [0.1 * index for index in range(1, 31)] + [4.0] * 15
+    refused = 0
+    for at_s in arrivals_s:
+        decision = policy.decide(
+            make_profile(prompt_tokens=20, output_tokens=108), now_s=at_s
+        )
+        if isinstance(decision, Refusal):
+            refused += 1
+            continue
+        policy.note_sent(
+            decision.runner.name,
+            lane=decision.lane,
+            prefill_tokens=decision.prefill_tokens,
+            now_s=at_s,
+        )
+    assert refused == 0
+
+
+def test_an_entry_that_carries_a_quarter_of_the_load_may_use_a_quarter():
+    """The load of the other entries is in the reports of the runners."""
+    policy = make_policy(3, entries=4)
+    for index in range(3):
+        report = make_report(running=24)
+        policy.note_report(f"runner-{index}", report, sampled_s=0.05)
+    decisions = [
+        policy.decide(make_profile(output_tokens=108), now_s=0.1) for _ in range(40)
+    ]
+    assert any(isinstance(decision, Refusal) for decision in decisions)
