Show what a host on the platform believes and holds

lacewinglug host-status IP:PORT asks a host, on the address of its metrics, for its view of runners with age and source, other hosts with the age of their beats, tenure, connections and what is left of the budgets of repeats. The request and its errors are shared with lacewinglug status.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -48,6 +48,7 @@
     :param now_s: returns monotonic seconds.
     :param hosts: returns how many hosts may be alive.
     :param tell_work: tells other hosts of work given to an engine.
+    :param budgets: budgets of repeats by service.
     """
 
     settings: HostSettings
@@ -61,7 +62,7 @@
     upstreams: Upstreams = field(init=False)
     geography: Geography = field(init=False)
     background: set[asyncio.Task[None]] = field(default_factory=set)
-    _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
+    budgets: dict[str, RepeatBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.upstreams = Upstreams(now_s=self.now_s, hosts=self.hosts)
@@ -69,14 +70,14 @@
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeats to a service."""
-        found = self._budgets.get(service)
+        found = self.budgets.get(service)
         if found is None:
             found = RepeatBudget(
                 ratio=self.settings.retry_ratio,
                 slack=self.settings.retry_slack,
                 window_s=self.settings.retry_window_s,
             )
-            self._budgets[service] = found
+            self.budgets[service] = found
         return found
 
     async def call_engine(
--- a/lacewinglug/host/hosts.py
+++ b/lacewinglug/host/hosts.py
@@ -51,6 +51,20 @@
     heard_s: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostSight:
+    """Another host as this one sees it.
+
+    :param identity: where it is reached.
+    :param state: ``serving``, ``not ready``, ``leaving`` or ``silent``.
+    :param age_s: time since its last beat, in s; None before the first.
+    """
+
+    identity: HostIdentity
+    state: str
+    age_s: float | None
+
+
 @dataclass(kw_only=True)
 class HostTable:
     """Owns what a host knows of the others.
@@ -133,6 +147,20 @@
             and now_s - host.heard_s <= SILENCE_S
         ]
 
+    def sights(self, *, now_s: float) -> list[HostSight]:
+        """Return the other hosts by name, as operators are told of them."""
+        sights = []
+        for name in sorted(self._hosts):
+            host = self._hosts[name]
+            age_s = None if host.heard_s is None else now_s - host.heard_s
+            state = "serving" if host.ready else "not ready"
+            if host.leaving:
+                state = "leaving"
+            if age_s is None or age_s > SILENCE_S:
+                state = "silent"
+            sights.append(HostSight(identity=host.identity, state=state, age_s=age_s))
+        return sights
+
     def region_peers(self) -> list[HostIdentity]:
         """Return the other hosts of this host's region that are known."""
         return [
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 from lacewinglug.errors import UserError
 from lacewinglug.host.caches import CacheLearner
 from lacewinglug.host.context import HostState
@@ -18,6 +20,13 @@
 from lacewinglug.host.model import HostSettings
 from lacewinglug.host.peers import OwnState, PeerLink
 from lacewinglug.host.reporting import HostMetrics, Reporter
+from lacewinglug.host.status import (
+    STATUS_TARGET,
+    HostReport,
+    list_budgets,
+    list_peers,
+    list_runners,
+)
 from lacewinglug.host.steward import StageSteward
 from lacewinglug.host.tenure import TenureKeeper
 from lacewinglug.host.watch import StoreWatch
@@ -324,7 +333,30 @@
         ttl_s = min(DIRECTORY_TTL_S, self.settings.directory_ttl_s)
         await exchange.respond(encode_addresses(addresses, ttl_s=ttl_s))
 
-    async def _answer_metrics(self, _request: Request, exchange: Exchange) -> None:
+    def report(self) -> HostReport:
+        """Return what this host believes and holds now."""
+        state = self.state
+        now_s = state.now_s()
+        return HostReport(
+            host=self.settings.name,
+            ready=self.ready,
+            leaving=self.leaving,
+            requests=self._clients.registry.busy,
+            configuration_version=state.routes.version,
+            view_age_s=state.fleet.age_s(now_s) if state.fleet.known else None,
+            view_source=self._watch.source,
+            fencing_number=self._steward.keeper.fencing_number,
+            peers=list_peers(self.table, now_s=now_s),
+            runners=list_runners(state, now_s=now_s),
+            budgets=list_budgets(state, now_s=now_s),
+        )
+
+    async def _answer_metrics(self, request: Request, exchange: Exchange) -> None:
+        if request.target == STATUS_TARGET:
+            body = msgspec.json.encode(self.report())
+            headers = ((b"Content-Type", b"application/json"),)
+            await exchange.respond(Response(status=200, headers=headers, body=body))
+            return
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         body = self._metrics.render()
         await exchange.respond(Response(status=200, headers=headers, body=body))
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -67,6 +67,11 @@
     _paused_until_s: float = 0.0
     _confirmed_s: float = -math.inf
 
+    @property
+    def fencing_number(self) -> int | None:
+        """Number of this host's tenure, None where it holds none."""
+        return None if self._tenure is None else self._tenure.fencing_number
+
     async def acquire(self) -> Tenure | None:
         """Return this host's tenure, claimed where need be; None for not now."""
         if self._tenure is not None:
--- a/lacewinglug/host/upstreams.py
+++ b/lacewinglug/host/upstreams.py
@@ -5,7 +5,7 @@
 
 from lacewinglug.host.health import RunnerHealth
 from lacewinglug.host.model import RunnerEntry, Service
-from lacewinglug.wire.pool import ConnectionPool
+from lacewinglug.wire.pool import ConnectionCounts, ConnectionPool
 
 CONNECTION_SHARE = 0.8
 """Part of a runner's connections that all hosts together may open."""
@@ -38,6 +38,11 @@
         pool.most = max(FEWEST_CONNECTIONS, most)
         return pool
 
+    def count_connections(self, instance: str) -> ConnectionCounts:
+        """Return how many connections to a runner there are."""
+        pool = self._pools.get(instance)
+        return ConnectionCounts() if pool is None else pool.counts
+
     def health(self, instance: str) -> RunnerHealth:
         """Return the samples of a runner."""
         found = self._health.get(instance)
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -92,6 +92,15 @@
     _runner_news: asyncio.Event = field(default_factory=asyncio.Event)
     _configuration_news: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def source(self) -> str:
+        """Where the view of runners comes from: ``store``, ``hosts`` or ``none``."""
+        match self._told:
+            case None:
+                return "none"
+            case told:
+                return "hosts" if told else "store"
+
     def take_view(self, update: ViewUpdate) -> None:
         """Take what another host of the region has read."""
         read_s = self.now_s() - update.age_s
--- a/lacewinglug/ui/__init__.py
+++ b/lacewinglug/ui/__init__.py
@@ -19,6 +19,7 @@
     "load": "load",
     "report": "report",
     "host": "host",
+    "host-status": "host_status",
     "explain": "explain",
     "completion": "completion",
 }
@@ -37,7 +38,7 @@
         if module_name is None:
             return None
         module = import_module(f"lacewinglug.ui.{module_name}")
-        command: click.Command = getattr(module, cmd_name)
+        command: click.Command = getattr(module, cmd_name.replace("-", "_"))
         return command
 
 
--- a/lacewinglug/ui/common.py
+++ b/lacewinglug/ui/common.py
@@ -3,8 +3,10 @@
 import asyncio
 import getpass
 import os
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, TypeVar
 
 import aiohttp
@@ -15,8 +17,11 @@
 from lacewinglug.config.loading import load_config
 from lacewinglug.config.objects import Fleet
 from lacewinglug.errors import UserError
+from lacewinglug.ui.errors import EXIT_UNAVAILABLE
 
 ResultT = TypeVar("ResultT")
+_FETCH_TIMEOUT_S = 5.0
+"""Longest wait for a program's answer to a command, in s."""
 
 
 log_option = click.option(
@@ -72,6 +77,40 @@
     return asyncio.run(coroutine)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A whole HTTP answer.
+
+    :param status: status code.
+    :param body: body.
+    """
+
+    status: int
+    body: bytes
+
+
+async def fetch(
+    url: str, *, remedy: str, headers: Mapping[str, str] = MappingProxyType({})
+) -> Answer:
+    """Return the answer to a GET request.
+
+    :param remedy: what to do where nothing answers.
+    :raises UserError: nothing answers.
+    """
+    timeout = aiohttp.ClientTimeout(total=_FETCH_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url, headers=headers) as response,
+        ):
+            return Answer(status=response.status, body=await response.read())
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise UserError(
+            f"{url} does not answer ({error!r}); {remedy}",
+            exit_code=EXIT_UNAVAILABLE,
+        ) from None
+
+
 def echo_json(message: object) -> None:
     """Print a message as indented JSON."""
     encoded = msgspec.json.encode(message)
--- a/lacewinglug/ui/status.py
+++ b/lacewinglug/ui/status.py
@@ -1,6 +1,5 @@
 """The command that shows the state of the fleet."""
 
-import aiohttp
 import click
 import msgspec
 
@@ -11,12 +10,10 @@
     admin_key_option,
     echo_json,
     entry_option,
+    fetch,
     json_option,
     run_async,
 )
-from lacewinglug.ui.errors import EXIT_UNAVAILABLE
-
-_TIMEOUT_S = 5.0
 
 
 @click.command(epilog="Example: lacewinglug status --entry http://127.0.0.1:8700")
@@ -35,21 +32,12 @@
 
 async def _fetch(entry: str, admin_key: str) -> StatusReply:
     headers = {AUTHORIZATION_HEADER: f"Bearer {admin_key}"} if admin_key else {}
-    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"{entry}/v1/status", headers=headers) as response,
-        ):
-            body = await response.read()
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise UserError(
-            f"{entry} does not answer ({error!r}); try another entry host",
-            exit_code=EXIT_UNAVAILABLE,
-        ) from None
-    if response.status == 401:
+    answer = await fetch(
+        f"{entry}/v1/status", remedy="try another entry host", headers=headers
+    )
+    if answer.status == 401:
         raise UserError(f"{entry} wants the admin key; give it by --admin-key")
-    return msgspec.json.decode(body, type=StatusReply)
+    return msgspec.json.decode(answer.body, type=StatusReply)
 
 
 def _describe(reply: StatusReply) -> list[str]:
--- a/lacewinglug/wire/pool.py
+++ b/lacewinglug/wire/pool.py
@@ -19,6 +19,18 @@
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionCounts:
+    """How many connections there are.
+
+    :param open: all connections.
+    :param idle: those that wait for a request.
+    """
+
+    open: int = 0
+    idle: int = 0
+
+
 @dataclass(kw_only=True)
 class ConnectionPool:
     """Owns the connections to one upstream.
@@ -34,6 +46,11 @@
     _idle: list[ClientConnection] = field(default_factory=list)
     _open: int = 0
 
+    @property
+    def counts(self) -> ConnectionCounts:
+        """Connections of the pool, those in an exchange included."""
+        return ConnectionCounts(open=self._open, idle=len(self._idle))
+
     async def acquire(self, *, timeout_s: float) -> ClientConnection:
         """Return a connection on which an exchange may begin.
 
--- a/tests/host/test_hosts.py
+++ b/tests/host/test_hosts.py
@@ -72,3 +72,20 @@
 
 def test_a_host_that_knows_nobody_names_itself():
     assert addresses(make_table(), own_serves=False) == ["own:8149"]
+
+
+def test_operators_are_told_of_each_host_with_the_age_of_its_last_beat():
+    table = make_table()
+    beat(table, identity("b", "mtl-a"), now_s=9.0)
+    beat(table, identity("c", "mtl-a"), ready=False, now_s=9.0)
+    beat(table, identity("d", "mtl-a"), leaving=True, now_s=9.0)
+    beat(table, identity("e", "mtl-a"), now_s=5.0)
+    table.learn(identity("f", "mtl-a"))
+    sights = table.sights(now_s=10.0)
+    assert [(item.identity.name, item.state, item.age_s) for item in sights] == [
+        ("b", "serving", 1.0),
+        ("c", "not ready", 1.0),
+        ("d", "leaving", 1.0),
+        ("e", "silent", 5.0),
+        ("f", "silent", None),
+    ]
--- /dev/null
+++ b/tests/host/test_status.py
@@ -0,0 +1,22 @@
+"""What a host tells operators of itself."""
+
+import msgspec
+
+from lacewinglug.host.status import HostReport
+from tests.host.test_relay import app, running
+
+
+async def test_a_report_tells_of_view_runners_and_budgets():
+    async with running(app()) as scene:
+        await scene.ask("/unlock/7")
+        address = scene.process.metrics_address
+        answer = await scene.call(address, "/status", "GET")
+        report = msgspec.json.decode(answer.body, type=HostReport)
+    assert (report.host, report.ready, report.leaving) == ("edge-1", True, False)
+    assert report.configuration_version == 1
+    assert (report.view_source, report.fencing_number) == ("store", None)
+    assert report.view_age_s is not None
+    [seen] = report.runners
+    assert (seen.runner, seen.connections, seen.idle_connections) == ("app-1", 1, 1)
+    assert seen.failure_share == 0.0
+    assert [budget.service for budget in report.budgets] == ["app"]
