Repeat an unsettled call for thirty seconds, not for five copies

The client is bounded by time now, settle_timeout_s. A unit test with a clock of its own fails without the change (restart of twenty seconds).

--- a/lacewinglug/caller.py
+++ b/lacewinglug/caller.py
@@ -1,6 +1,7 @@
 """A caller's side: asks for entry addresses, sends prompts and calls."""
 
 import asyncio
+import itertools
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
 from dataclasses import dataclass, field
@@ -29,7 +30,9 @@
 _SHORT_TIMEOUT = aiohttp.ClientTimeout(total=5.0, connect=2.0)
 _STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=7.0)
 
-_MAX_SENDS = 5
+SETTLE_TIMEOUT_S = 30.0
+"""Time for which a call without a settled outcome is repeated, in s; longer than
+the restart of an entry host."""
 _REPEAT_DELAY_S = 1.0
 _part_decoder = msgspec.json.Decoder(AnswerToken | AnswerHeartbeat | AnswerEnd)
 
@@ -235,37 +238,56 @@
         return msgspec.json.decode(content, type=KeyReply).key
 
     async def run_call(
-        self, service: str, kind: str, body: str, *, timeout_s: float = 30.0
+        self,
+        service: str,
+        kind: str,
+        body: str,
+        *,
+        timeout_s: float = 30.0,
+        settle_timeout_s: float = SETTLE_TIMEOUT_S,
     ) -> Result[CallReply, FailureBody]:
         """Run a call at most once, repeating it until its outcome is settled.
 
-        Every repeat carries the same minted key, so none runs the call again.
+        Every repeat carries the same minted key, so none runs the call again. A
+        result that may still be repeated with the same key is not settled.
 
         :param service: name of the service.
         :param kind: name of the kind of request.
         :param body: body of the call.
         :param timeout_s: longest wait for one copy's answer, in seconds.
+        :param settle_timeout_s: time after which no further copy is sent, in seconds.
         :raises AnswerFailedError: the entry mints no key.
         :raises aiohttp.ClientError: no entry host answers.
         """
         entries = await self._find_entries()
         key = await self._mint_first(entries)
-        result: Result[CallReply, FailureBody] = Failure(_connection_lost())
-        for attempt in range(_MAX_SENDS):
-            if attempt > 0:
-                await self.clock.sleep(_REPEAT_DELAY_S)
-            entry = entries[attempt % len(entries)]
-            try:
-                async with asyncio.timeout(timeout_s):
-                    result = await self._post_call(entry, service, kind, body, key)
-            except (aiohttp.ClientError, TimeoutError):
-                result = Failure(_connection_lost())
+        give_up_s = self.clock.now_s() + settle_timeout_s
+        for entry in itertools.cycle(entries):
+            result = await self._send_copy(entry, service, kind, body, key, timeout_s)
             match result:
-                case Failure(FailureBody(repeat_with="same_key")):
-                    continue
+                case Failure(FailureBody(repeat_with="same_key")) if (
+                    self.clock.now_s() < give_up_s
+                ):
+                    await self.clock.sleep(_REPEAT_DELAY_S)
                 case _:
                     return result
-        return result
+        raise aiohttp.ClientError("no entry host is in service; try later")
+
+    async def _send_copy(
+        self,
+        entry: str,
+        service: str,
+        kind: str,
+        body: str,
+        key: str,
+        timeout_s: float,
+    ) -> Result[CallReply, FailureBody]:
+        """Send one copy of a call; a lost connection leaves its outcome unknown."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._post_call(entry, service, kind, body, key)
+        except (aiohttp.ClientError, TimeoutError):
+            return Failure(_connection_lost())
 
     async def send_call(
         self, service: str, kind: str, body: str, *, key: str = ""
--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -147,11 +147,17 @@
 async def test_caller_library_repeats_at_another_entry(stage):
     client = stage.caller("entry-1")
     await client.fetch_addresses()
-    await stage.set_faults(late_replies=1, late_s=1.0)
+    # Longer than any pause of this machine, so that no reply comes before the kill.
+    await stage.set_faults(late_replies=1, late_s=30.0)
+    runs = sum((await stage.runs()).values())
     first = asyncio.create_task(
         client.run_call(SERVICE, "unlock", "bay of the library")
     )
-    await asyncio.sleep(0.5)
+
+    async def is_run():
+        return sum((await stage.runs()).values()) > runs
+
+    await stage.wait_until(is_run)
     owner = client.addresses[0]
     [host] = [name for name in HOSTS if stage.deployment.entry_url(name) == owner]
     await kill_and_restart(stage, host)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -3,6 +3,7 @@
 import aiohttp
 import msgspec
 import pytest
+from returns.pipeline import is_successful
 from starlette.applications import Starlette
 from starlette.responses import Response
 from starlette.routing import Route
@@ -10,11 +11,17 @@
 from lacewinglug import caller as caller_module
 from lacewinglug.caller import AnswerFailedError, CallerClient
 from lacewinglug.connections import make_connector
-from lacewinglug.entry.responses import ADDRESSES_HEADER, failure_response
+from lacewinglug.entry.calls import KeyReply
+from lacewinglug.entry.responses import (
+    ADDRESSES_HEADER,
+    failure_response,
+    message_response,
+)
 from lacewinglug.membership.addresses import EntryAddresses
 from lacewinglug.requests.answers import PromptBody
-from lacewinglug.requests.outcomes import NotRun
+from lacewinglug.requests.outcomes import NotRun, open_key
 from lacewinglug.standin.relay import TcpRelay
+from lacewinglug.upstream.messages import CallReply
 from tests.entry.local import free_port, serve_standin
 from tests.requests.fakes import FakeClock
 
@@ -30,6 +37,8 @@
         self.manner = "answer"
         self.asked = 0
         self.prompts = 0
+        self.calls = 0
+        self.unsettled = 0
 
     async def handle_entries(self, request):
         self.asked += 1
@@ -51,9 +60,21 @@
             case _:
                 return refusal
 
+    async def handle_key(self, request):
+        return message_response(KeyReply(key="k"), status_code=201)
+
+    async def handle_call(self, request):
+        self.calls += 1
+        if self.calls <= self.unsettled:
+            refusal = NotRun(reason="the owner is away", remedy="repeat")
+            return failure_response(open_key(refusal))
+        return message_response(CallReply(key="k", result="done"))
+
     def app(self):
         return Starlette(
             routes=[
+                Route("/v1/keys", self.handle_key, methods=["POST"]),
+                Route("/v1/services/s/calls/k", self.handle_call, methods=["POST"]),
                 Route("/v1/entries", self.handle_entries),
                 Route("/v1/services/s/prompts", self.handle_prompt, methods=["POST"]),
             ]
@@ -140,3 +161,14 @@
     first.manner = "no end"
     with pytest.raises(aiohttp.ClientPayloadError, match="no end"):
         await send(client)
+
+
+@pytest.mark.parametrize(("copies", "is_settled"), [(20, True), (40, False)])
+async def test_a_call_is_repeated_while_its_owner_restarts(setting, copies, is_settled):
+    """A restart of twenty seconds is waited out, one of forty is not."""
+    client, first, second = setting
+    first.unsettled = second.unsettled = copies // 2
+    result = await client.run_call("s", "k", "body")
+    assert is_successful(result) == is_settled
+    if not is_settled:
+        assert result.failure().repeat_with == "same_key"
