--- a/lacewinglug/backing/log.py
+++ b/lacewinglug/backing/log.py
@@ -98,7 +98,10 @@
             async with self.session.post(url, data=data, timeout=timeout) as response:
                 body = await response.read()
         except aiohttp.ClientConnectorError as error:
-            raise LogUnavailableError(f"cannot connect to the log: {error}") from None
+            raise LogUnavailableError(
+                f"cannot connect to the log ({error}); try again when it answers, or "
+                "correct its URL"
+            ) from None
         except (aiohttp.ClientError, TimeoutError) as error:
             raise AppendOutcomeUnknownError(
                 f"the reply to an append was lost: {error!r}; read the log to settle it"
@@ -129,7 +132,10 @@
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise LogUnavailableError(f"cannot read the log: {error!r}") from None
+            raise LogUnavailableError(
+                f"cannot read the log at {self.base_url} ({error!r}); try again when "
+                "it answers, or correct its URL"
+            ) from None
         try:
             match response.status:
                 case 200:
