--- a/lacewinglug/host/stages.py
+++ b/lacewinglug/host/stages.py
@@ -17,7 +17,10 @@
 """Engines by which the fleet must be off before any is changed, so that a crash
 of one changes nothing."""
 FEWEST_ENGINES = 4
-"""Engines of a service below which none is changed."""
+"""Engines of a service below which none is changed while one runs streams."""
+LOST_FOR_S = 15.0
+"""Time without an engine that runs streams after which those that did are taken as
+gone, in s; crashed ones are back within about ten, sooner than a change pays."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,17 +35,20 @@
     stage: Stage
 
 
-def plan_stages(entries: Sequence[RunnerEntry], *, streams: float) -> list[StageChange]:
+def plan_stages(
+    entries: Sequence[RunnerEntry], *, streams: float, without_runner_s: float = 0.0
+) -> list[StageChange]:
     """Return the changes that bring the fleet of a service to its plan.
 
     :param entries: engines that take work.
     :param streams: streams that run at all of them.
+    :param without_runner_s: time for which none of them could run streams, in s.
     """
     readers = [item for item in entries if item.stage is Stage.PREFILL]
     runners = [item for item in entries if item.stage is Stage.DECODE]
     total = len(readers) + len(runners)
     if total < FEWEST_ENGINES:
-        return []
+        return _plan_few(readers, runners, without_runner_s)
     wanted = max(
         FEWEST_DECODE,
         math.ceil(total * DECODE_SHARE),
@@ -63,6 +69,18 @@
     ]
 
 
+def _plan_few(
+    readers: Sequence[RunnerEntry],
+    runners: Sequence[RunnerEntry],
+    without_runner_s: float,
+) -> list[StageChange]:
+    """Return the change that lets a few engines serve; those that only read cannot."""
+    if runners or not readers or without_runner_s < LOST_FOR_S:
+        return []
+    chosen = _spread(readers, keep=len(readers) - 1)
+    return [StageChange(entry=item, stage=Stage.DECODE) for item in chosen]
+
+
 def _spread(entries: Sequence[RunnerEntry], *, keep: int) -> list[RunnerEntry]:
     """Return the engines to change, so that those kept lie in many zones."""
     counts: dict[str, int] = {}
--- a/lacewinglug/host/steward.py
+++ b/lacewinglug/host/steward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from lacewinglug.host.context import HostState
@@ -11,6 +11,7 @@
     OrderReply,
     RunnerEntry,
     Service,
+    Stage,
     StageOrder,
 )
 from lacewinglug.host.stages import StageChange, plan_stages
@@ -55,6 +56,7 @@
     is_planner: Callable[[], bool]
     tell_switching: Callable[[str], None]
     _unsettled_until_s: dict[str, float] = field(default_factory=dict)
+    _runner_seen_s: dict[str, float] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Plan again and again, until cancelled."""
@@ -93,12 +95,23 @@
         streams = sum(
             self.state.upstreams.health(item.instance).in_use(now_s) for item in entries
         )
+        without_runner_s = now_s - self._note_runners(service.name, entries, now_s)
         return [
             change
-            for change in plan_stages(entries, streams=streams)
+            for change in plan_stages(
+                entries, streams=streams, without_runner_s=without_runner_s
+            )
             if self._unsettled_until_s.get(change.entry.instance, 0.0) <= now_s
         ]
 
+    def _note_runners(
+        self, service: str, entries: Sequence[RunnerEntry], now_s: float
+    ) -> float:
+        """Return when an engine that runs streams was last seen, in s."""
+        if any(item.stage is Stage.DECODE for item in entries):
+            self._runner_seen_s[service] = now_s
+        return self._runner_seen_s.setdefault(service, now_s)
+
     async def _carry_out(
         self, service: Service, change: StageChange, tenure: Tenure
     ) -> bool:
--- a/tests/host/test_steward.py
+++ b/tests/host/test_steward.py
@@ -31,3 +31,23 @@
         assert len(scene.store.topics["claims"]) == 1
     finally:
         scene.close()
+
+
+async def test_the_last_readers_take_streams_when_the_others_are_gone(monkeypatch):
+    for name in ("SETTLE_S", "STABLE_S", "PLAN_EVERY_S"):
+        monkeypatch.setattr(f"lacewinglug.host.steward.{name}", 0.05)
+    monkeypatch.setattr("lacewinglug.host.tenure.CLAIM_MARGIN_S", 0.0)
+    monkeypatch.setattr("lacewinglug.host.stages.LOST_FOR_S", 0.5)
+    readers = [
+        RunnerStandin(f"e-{number}", "llm", stage="prefill") for number in range(3)
+    ]
+    scene = await Scene().open(*readers)
+    scene.settings["Bounds"]["LeaseMs"] = 50
+    try:
+        async with asyncio.timeout(40), hosting(scene.settings):
+            while not any(engine.orders for engine in readers):
+                await asyncio.sleep(0.02)
+        [order] = [order for engine in readers for order in engine.orders]
+        assert order["Stage"] == "decode"
+    finally:
+        scene.close()
