Keep one type for the sight of a host and one check that it is heard, and encode far datagrams once

PeerSight stood twice, as HostSight with the same fields; the report of a host now carries the one that the table of hosts gives. Whether a host is heard was written out in four places, and whether it is of this region in two; is_store_reader looked hosts up again that region_peers had gone over. A datagram for other regions was encoded a second time, and in the forwarded form also where no region is large. Behaviour, bounds and assertions are the same.

--- a/lacewinglug/host/hosts.py
+++ b/lacewinglug/host/hosts.py
@@ -50,19 +50,25 @@
     reads_store: bool = False
     heard_s: float | None = None
 
+    def is_heard(self, now_s: float) -> bool:
+        """Return whether its beats arrive."""
+        return self.heard_s is not None and now_s - self.heard_s <= SILENCE_S
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HostSight:
+class PeerSight:
     """Another host as this one sees it.
 
-    :param identity: where it is reached.
+    :param host: name of the host.
+    :param zone: its availability zone.
     :param state: ``serving``, ``not ready``, ``leaving`` or ``silent``.
-    :param age_s: time since its last beat, in s; None before the first.
+    :param heard_age_s: time since its last beat, in s; None before the first.
     """
 
-    identity: HostIdentity
+    host: str
+    zone: str
     state: str
-    age_s: float | None
+    heard_age_s: float | None
 
 
 @dataclass(kw_only=True)
@@ -141,41 +147,23 @@
         return [
             host.identity
             for host in self._hosts.values()
-            if host.ready
-            and not host.leaving
-            and host.heard_s is not None
-            and now_s - host.heard_s <= SILENCE_S
+            if host.ready and not host.leaving and host.is_heard(now_s)
         ]
 
-    def sights(self, *, now_s: float) -> list[HostSight]:
+    def sights(self, *, now_s: float) -> list[PeerSight]:
         """Return the other hosts by name, as operators are told of them."""
-        sights = []
-        for name in sorted(self._hosts):
-            host = self._hosts[name]
-            age_s = None if host.heard_s is None else now_s - host.heard_s
-            state = "serving" if host.ready else "not ready"
-            if host.leaving:
-                state = "leaving"
-            if age_s is None or age_s > SILENCE_S:
-                state = "silent"
-            sights.append(HostSight(identity=host.identity, state=state, age_s=age_s))
-        return sights
+        return [_sight(self._hosts[name], now_s) for name in sorted(self._hosts)]
 
     def region_peers(self) -> list[HostIdentity]:
         """Return the other hosts of this host's region that are known."""
-        return [
-            host.identity
-            for host in self._hosts.values()
-            if self.geography.distance(self.own.zone, host.identity.zone)
-            < Distance.OTHER_REGION
-        ]
+        return [host.identity for host in self._hosts.values() if self._is_near(host)]
 
     def far_peers(self) -> dict[str, list[HostIdentity]]:
         """Return the other hosts that are known, by each other region."""
         regions: dict[str, list[HostIdentity]] = {}
         for host in self._hosts.values():
-            zone = host.identity.zone
-            if self.geography.distance(self.own.zone, zone) is Distance.OTHER_REGION:
+            if not self._is_near(host):
+                zone = host.identity.zone
                 region = self.geography.regions.get(zone, zone)
                 regions.setdefault(region, []).append(host.identity)
         return regions
@@ -185,24 +173,22 @@
 
         The first by name do so, of those that live and that the store answers.
         """
-        earlier = 0
-        others = 0
-        for identity in self.region_peers():
-            host = self._hosts[identity.name]
-            if host.heard_s is None or now_s - host.heard_s > SILENCE_S:
-                continue
-            others += 1
-            if host.reads_store and not host.leaving and identity.name < self.own.name:
-                earlier += 1
-        readers = min(MOST_READERS, 1 + others // HOSTS_PER_READER)
+        others = [
+            host
+            for host in self._hosts.values()
+            if self._is_near(host) and host.is_heard(now_s)
+        ]
+        earlier = sum(
+            host.reads_store and not host.leaving and host.identity.name < self.own.name
+            for host in others
+        )
+        readers = min(MOST_READERS, 1 + len(others) // HOSTS_PER_READER)
         return earlier < readers
 
     def caches_known_elsewhere(self, *, now_s: float) -> bool:
         """Return whether another host that lives knows what engines keep."""
         return any(
-            host.knows_caches
-            for host in self._hosts.values()
-            if host.heard_s is not None and now_s - host.heard_s <= SILENCE_S
+            host.knows_caches and host.is_heard(now_s) for host in self._hosts.values()
         )
 
     def addresses(
@@ -227,6 +213,11 @@
                 return _addresses(near)
         return _addresses(ranked)
 
+    def _is_near(self, host: _Host) -> bool:
+        """Return whether a host is of this host's region."""
+        distance = self.geography.distance(self.own.zone, host.identity.zone)
+        return distance is not Distance.OTHER_REGION
+
     def _distance(self, host: HostIdentity, zone: str, region: str) -> Distance:
         if host.zone == zone:
             return Distance.SAME_ZONE
@@ -235,5 +226,19 @@
         return Distance.OTHER_REGION
 
 
+def _sight(host: _Host, now_s: float) -> PeerSight:
+    state = "serving" if host.ready else "not ready"
+    if host.leaving:
+        state = "leaving"
+    if not host.is_heard(now_s):
+        state = "silent"
+    return PeerSight(
+        host=host.identity.name,
+        zone=host.identity.zone,
+        state=state,
+        heard_age_s=None if host.heard_s is None else now_s - host.heard_s,
+    )
+
+
 def _addresses(hosts: Iterable[HostIdentity]) -> list[str]:
     return [host.client_address for host in hosts]
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -174,8 +174,9 @@
                 batch = self._pending[:MOST_WORK_A_DATAGRAM]
                 del self._pending[:MOST_WORK_A_DATAGRAM]
                 message = _Datagram(work=[_work(item) for item in batch])
-                self._send_all(_encoder.encode(message), self.table.region_peers())
-                self._send_far(message)
+                data = _encoder.encode(message)
+                self._send_all(data, self.table.region_peers())
+                self._send_far(message, data)
 
     async def send_beats(self) -> None:
         """Tell the others that this host lives, until cancelled."""
@@ -192,10 +193,11 @@
         self._beats += 1
         far = self._beats % FAR_BEAT_EVERY == 0
         message = self._make_beat()
+        data = _encoder.encode(message)
         peers = self.table.peers if urgent else self.table.region_peers()
-        self._send_all(_encoder.encode(message), peers)
+        self._send_all(data, peers)
         if far and not urgent:
-            self._send_far(message)
+            self._send_far(message, data)
 
     def greet(self, ip: str) -> None:
         """Send a beat to an address at which a host may listen."""
@@ -270,18 +272,23 @@
             streams=self.own_streams(),
         )
 
-    def _send_far(self, message: _Datagram) -> None:
+    def _send_far(self, message: _Datagram, data: bytes) -> None:
         """Send a datagram to all other regions, to large ones through one host.
 
         Each takes its turn, so that a host that is down swallows few of them.
+
+        :param data: the datagram, encoded.
         """
         self._turn += 1
-        forwarded = _encoder.encode(msgspec.structs.replace(message, forward=True))
+        forwarded: bytes | None = None
         for peers in self.table.far_peers().values():
             if len(peers) < FORWARDED_FROM:
-                self._send_all(_encoder.encode(message), peers)
-            else:
-                self._send_all(forwarded, [peers[self._turn % len(peers)]])
+                self._send_all(data, peers)
+                continue
+            if forwarded is None:
+                again = msgspec.structs.replace(message, forward=True)
+                forwarded = _encoder.encode(again)
+            self._send_all(forwarded, [peers[self._turn % len(peers)]])
 
     def _send_all(self, data: bytes, peers: Iterable[HostIdentity]) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -24,7 +24,6 @@
     STATUS_TARGET,
     HostReport,
     list_budgets,
-    list_peers,
     list_runners,
 )
 from lacewinglug.host.steward import StageSteward
@@ -346,7 +345,7 @@
             view_age_s=state.fleet.age_s(now_s) if state.fleet.known else None,
             view_source=self._watch.source,
             fencing_number=self._steward.keeper.fencing_number,
-            peers=list_peers(self.table, now_s=now_s),
+            peers=self.table.sights(now_s=now_s),
             runners=list_runners(state, now_s=now_s),
             budgets=list_budgets(state, now_s=now_s),
         )
--- a/lacewinglug/host/status.py
+++ b/lacewinglug/host/status.py
@@ -3,28 +3,13 @@
 import msgspec
 
 from lacewinglug.host.context import HostState
-from lacewinglug.host.hosts import HostTable
+from lacewinglug.host.hosts import PeerSight
 from lacewinglug.host.model import RunnerEntry
 
 STATUS_TARGET = b"/status"
 """Path of the report on the address that serves metrics."""
 
 
-class PeerSight(msgspec.Struct, frozen=True, kw_only=True):
-    """Another host as this one sees it.
-
-    :param host: name of the host.
-    :param zone: its availability zone.
-    :param state: ``serving``, ``not ready``, ``leaving`` or ``silent``.
-    :param heard_age_s: time since its last beat, in s; None before the first.
-    """
-
-    host: str
-    zone: str
-    state: str
-    heard_age_s: float | None
-
-
 class RunnerSight(msgspec.Struct, frozen=True, kw_only=True):
     """A runner as this host sees it.
 
@@ -92,19 +77,6 @@
     budgets: list[BudgetSight]
 
 
-def list_peers(table: HostTable, *, now_s: float) -> list[PeerSight]:
-    """Return the other hosts by name, each with the age of its last beat."""
-    return [
-        PeerSight(
-            host=sight.identity.name,
-            zone=sight.identity.zone,
-            state=sight.state,
-            heard_age_s=sight.age_s,
-        )
-        for sight in table.sights(now_s=now_s)
-    ]
-
-
 def list_runners(state: HostState, *, now_s: float) -> list[RunnerSight]:
     """Return the runners by service and id."""
     entries = sorted(
--- a/lacewinglug/ui/host_status.py
+++ b/lacewinglug/ui/host_status.py
@@ -4,12 +4,8 @@
 import msgspec
 
 from lacewinglug.errors import UserError
-from lacewinglug.host.status import (
-    STATUS_TARGET,
-    HostReport,
-    PeerSight,
-    RunnerSight,
-)
+from lacewinglug.host.hosts import PeerSight
+from lacewinglug.host.status import STATUS_TARGET, HostReport, RunnerSight
 from lacewinglug.ui.common import echo_json, fetch, json_option, run_async
 
 
--- a/tests/host/test_hosts.py
+++ b/tests/host/test_hosts.py
@@ -82,7 +82,7 @@
     beat(table, identity("e", "mtl-a"), now_s=5.0)
     table.learn(identity("f", "mtl-a"))
     sights = table.sights(now_s=10.0)
-    assert [(item.identity.name, item.state, item.age_s) for item in sights] == [
+    assert [(item.host, item.state, item.heard_age_s) for item in sights] == [
         ("b", "serving", 1.0),
         ("c", "not ready", 1.0),
         ("d", "leaving", 1.0),
--- a/tests/ui/test_host_status.py
+++ b/tests/ui/test_host_status.py
@@ -6,7 +6,8 @@
 import pytest
 from click.testing import CliRunner
 
-from lacewinglug.host.status import BudgetSight, HostReport, PeerSight, RunnerSight
+from lacewinglug.host.hosts import PeerSight
+from lacewinglug.host.status import BudgetSight, HostReport, RunnerSight
 from lacewinglug.ui import main
 from lacewinglug.ui.common import Answer
 from lacewinglug.ui.host_status import describe_report
