Count the step that ends a reading as work of its engine, and weigh lateness

Idle readers answer 75 ms later than their reading, and completions come in steps of 27 to 34 ms or in pairs: the 31 ms of a first token are a step in which the engine reads nothing else, not a delay beside it. Account and plan took it as a delay, so short prompts (10 ms of 41 ms) looked almost free, readers were believed idle while they had 100 to 300 ms of work, and the pace of engines took the difference for slowness (p50 1.5 to 2.2, p90 3.7), which made long prompts look twice as dear.

Changed: reading_s has the step; paces are ratios of sums from readings that did not wait; links have a pace of their own; a late first token costs 1 s, by the error of expected times; reading beside streams costs by the square of the streams.

--- a/lacewinglug/host/backlog.py
+++ b/lacewinglug/host/backlog.py
@@ -28,6 +28,11 @@
             self._waiting_s[: priority + 1]
         )
 
+    def idle(self, *, now_s: float) -> bool:
+        """Return whether the engine is believed to have nothing to read."""
+        self._advance(now_s)
+        return self._busy_until_s <= now_s
+
     def add(self, priority: int, work_s: float, *, now_s: float) -> None:
         """Note a prompt that takes some time to read."""
         self._advance(now_s)
--- a/lacewinglug/host/engines.py
+++ b/lacewinglug/host/engines.py
@@ -5,6 +5,7 @@
 
 from lacewinglug.host.backlog import PRIORITIES, ReadingBacklog
 from lacewinglug.host.model import EngineProfile, RunnerEntry, Stage
+from lacewinglug.host.paces import LinkPace, ReadingPace
 from lacewinglug.host.residency import KeyedPart, Residency
 
 PREFILL_TOKENS_S = 95_000.0
@@ -16,14 +17,8 @@
 PAIR_S = 0.218e-9
 """Time for each pair of a new and an earlier token, in s; from the site files."""
 FIRST_TOKEN_S = 0.031
-"""Time from the end of reading to the first token, in s; from the site files."""
-PACE_SAMPLE_WEIGHT = 0.15
-"""Weight of a new sample in the pace of an engine."""
-LONGEST_PACE = 4.0
-"""Bound of the believed slowness of an engine."""
-SHORTEST_PACE = 0.8
-"""Bound of the believed speed of an engine."""
-_SHORT_SAMPLE_S = 0.02
+"""Time of the step that ends a reading, in s; from the site files. The engine reads
+nothing else in it."""
 MOST_EARLY_ENGINES = 256
 """Engines of which something is kept before they are known."""
 MOST_EARLY_PARTS = 2_000
@@ -40,18 +35,20 @@
     :param entry: the engine, as it registered itself.
     :param residency: parts that it keeps.
     :param backlog: prompts that it has to read.
-    :param pace: time that work takes there, 1.0 as computed.
+    :param pace: how fast it reads.
+    :param link_pace: how fast KV cache moves over its link.
     :param switching_until_s: time until which it changes its stage.
     """
 
     entry: RunnerEntry
     residency: Residency
     backlog: ReadingBacklog = field(default_factory=ReadingBacklog)
-    pace: float = 1.0
+    pace: ReadingPace = field(default_factory=ReadingPace)
+    link_pace: LinkPace = field(default_factory=LinkPace)
     switching_until_s: float = 0.0
 
     def reading_s(self, *, new_tokens: int, cached_tokens: int) -> float:
-        """Return the time to read a part of a prompt, in s.
+        """Return the time to read a part of a prompt to its end, in s.
 
         :param new_tokens: tokens to read.
         :param cached_tokens: tokens before them that are at hand.
@@ -60,15 +57,7 @@
         rate = PREFILL_TOKENS_S if prefill else DECODE_TOKENS_S
         pairs = new_tokens * (cached_tokens + new_tokens / 2)
         pairs_s = pairs * PAIR_S * (1.0 if prefill else 2.0)
-        return (new_tokens / rate + pairs_s) * self.pace
-
-    def note_first_token(self, *, expected_s: float, actual_s: float) -> None:
-        """Take the time to a first token as a sample of the pace."""
-        if expected_s < _SHORT_SAMPLE_S:
-            return
-        sample = min(max(actual_s / expected_s, 0.5), LONGEST_PACE)
-        pace = self.pace * (1.0 + PACE_SAMPLE_WEIGHT * (sample - 1.0))
-        self.pace = min(max(pace, SHORTEST_PACE), LONGEST_PACE)
+        return (new_tokens / rate + pairs_s + FIRST_TOKEN_S) * self.pace.value
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -119,7 +108,7 @@
             return
         wait_s = account.backlog.wait_s(work.priority, now_s=now_s)
         account.backlog.add(work.priority, work.work_s, now_s=now_s)
-        ready_s = now_s + wait_s + work.work_s + FIRST_TOKEN_S
+        ready_s = now_s + wait_s + work.work_s
         account.residency.add(work.parts, ready_s=ready_s)
 
     def note_streams(self, host: str, counts: dict[str, int], *, now_s: float) -> None:
--- a/lacewinglug/host/placing.py
+++ b/lacewinglug/host/placing.py
@@ -11,13 +11,8 @@
     find_holder,
 )
 from lacewinglug.host.model import EngineProfile, Prompt, RunnerEntry
-from lacewinglug.host.prompts import (
-    Burden,
-    PromptJob,
-    PromptPlan,
-    PromptPlanner,
-    SplitPlan,
-)
+from lacewinglug.host.plans import Burden, PromptJob, PromptPlan, SplitPlan
+from lacewinglug.host.prompts import PromptPlanner
 from lacewinglug.host.ranks import URGENT_RANK, URGENT_SHARE, choose_rank
 from lacewinglug.host.residency import KeyedPart, key_parts
 
@@ -200,7 +195,13 @@
     reading_s = max(0, tokens - held) / PREFILL_TOKENS_S
     rank = choose_rank(left_s=context.late_at_s - view.now_s, reading_s=reading_s)
     size_bytes = len(context.request.body)
-    return PromptJob(parts=parts, tokens=tokens, priority=rank, size_bytes=size_bytes)
+    return PromptJob(
+        parts=parts,
+        tokens=tokens,
+        priority=rank,
+        size_bytes=size_bytes,
+        late_in_s=context.late_at_s - view.now_s,
+    )
 
 
 def _prompt(context: RequestContext) -> Prompt:
@@ -219,9 +220,11 @@
         "expected_ms": round(plan.expected_s * 1000),
         "work_ms": round(plan.work_s * 1000),
         "new_tokens": plan.new_tokens,
-        "pace": round(plan.runner.pace, 2),
+        "pace": round(plan.runner.pace.value, 2),
         "fetch_from": fetch_from,
     }
     if isinstance(plan, SplitPlan):
         fields["reader"] = plan.reader.entry.instance
+        fields["reader_pace"] = round(plan.reader.pace.value, 2)
+        fields["read_ms"] = round(plan.read_s * 1000)
     return fields
--- a/lacewinglug/host/prefills.py
+++ b/lacewinglug/host/prefills.py
@@ -7,7 +7,7 @@
 from lacewinglug.host.context import Attempt, HostState, RequestContext
 from lacewinglug.host.engines import EngineAccount
 from lacewinglug.host.placing import PromptPlacer
-from lacewinglug.host.prompts import SplitPlan
+from lacewinglug.host.plans import SplitPlan, learn_reading
 from lacewinglug.platform.calls import decode_prefill, drop_handle_target
 from lacewinglug.wire.client import UpstreamError
 
@@ -75,9 +75,7 @@
             context.sends += 1
             context.tried.add(reader.entry.instance)
             return None
-        reader.note_first_token(
-            expected_s=plan.expected_s, actual_s=now_s - attempt.started_s
-        )
+        learn_reading(plan, took_s=now_s - attempt.started_s)
         return answer.handle
 
     def free(self, context: RequestContext, reader: EngineAccount, handle: str) -> None:
--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -1,5 +1,6 @@
 """Places a prompt on engines: where it is read, and where its stream runs."""
 
+import math
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
 
@@ -9,13 +10,16 @@
     Distance,
     Geography,
 )
-from lacewinglug.host.engines import (
-    FIRST_TOKEN_S,
-    EngineAccount,
-    find_holder,
-)
+from lacewinglug.host.engines import EngineAccount, find_holder
 from lacewinglug.host.model import EngineProfile, Stage
-from lacewinglug.host.residency import KeyedPart
+from lacewinglug.host.plans import (
+    FAILURE_COST_S,
+    Burden,
+    DirectPlan,
+    PromptJob,
+    PromptPlan,
+    SplitPlan,
+)
 
 TRANSFER_SETUP_S = 0.005
 """Time before a transfer between engines begins, in s; from the site files."""
@@ -25,100 +29,23 @@
 REGION_COST_S_BYTE = 5e-6
 """Cost of each byte of a request that goes to another region, in s; traffic there
 is paid by volume."""
-SEAT_COST_S = 0.006
-"""Cost of each stream that runs at an engine already, in s; some sixty tokens,
-each of which it makes a tenth of a millisecond slower."""
-HOLD_UP_FACTOR = 0.5
-"""Cost of reading on a decode engine, relative to its time, for each stream that
-runs there and is held up by every chunk."""
-FAILURE_COST_S = 1.5
-"""Cost of a run that fails, in s; a silent one is found after about that."""
+STREAM_START_S = 0.01
+"""Time from the arrival of a KV cache to the first token, in s: one step."""
+HOLD_UP_FACTOR = 0.035
+"""Cost of reading on a decode engine, relative to its time, by the square of the
+streams that run there: each is held up by every chunk, and the more there are, the
+nearer are the long ones to the route's timeout."""
+LATE_COST_S = 1.0
+"""Cost of a first token that comes late, in s."""
+LATE_SPREAD_S = 0.15
+"""Error of the expected time to a first token, in s; from logs of played days."""
 LINK_FACTOR = 2.0
 """Cost of a transfer, relative to its time: the transfers of an engine run one
 after another, so each holds up the next."""
-_GIGA = 1e9
 TRANSFER_COST_S_GB = 0.15
 """Cost of moving a gigabyte of KV cache between engines of a zone, in s."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DirectPlan:
-    """One engine reads the prompt and runs the stream.
-
-    :param runner: the engine.
-    :param fetch_from: engine whose cached parts it fetches first, None for none.
-    :param expected_s: time to the first token.
-    :param work_s: time that the engine reads.
-    :param new_tokens: tokens that it reads.
-    :param cost_s: expected time with the costs of others.
-    """
-
-    runner: EngineAccount
-    fetch_from: EngineAccount | None
-    expected_s: float
-    work_s: float
-    new_tokens: int
-    cost_s: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SplitPlan:
-    """One engine reads the prompt, another fetches its KV cache and streams.
-
-    :param reader: engine that reads.
-    :param runner: engine that streams.
-    :param fetch_from: engine whose cached parts the reader fetches first.
-    :param expected_s: time to the first token.
-    :param work_s: time that the reader reads.
-    :param new_tokens: tokens that it reads.
-    :param cost_s: expected time with the costs of others.
-    """
-
-    reader: EngineAccount
-    runner: EngineAccount
-    fetch_from: EngineAccount | None
-    expected_s: float
-    work_s: float
-    new_tokens: int
-    cost_s: float
-
-
-PromptPlan = DirectPlan | SplitPlan
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PromptJob:
-    """A prompt to place.
-
-    :param parts: its parts, chained.
-    :param tokens: its length.
-    :param priority: its rank, 0 first.
-    :param size_bytes: size of its request.
-    """
-
-    parts: tuple[KeyedPart, ...]
-    tokens: int
-    priority: int
-    size_bytes: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Burden:
-    """What is known of an engine besides its account.
-
-    :param streams: streams that run there, of all hosts.
-    :param failure_share: believed share of its runs that fail.
-    """
-
-    streams: int = 0
-    failure_share: float = 0.0
-
-    @property
-    def cost_s(self) -> float:
-        """Cost of one more stream there, in s."""
-        return SEAT_COST_S * self.streams + FAILURE_COST_S * self.failure_share
-
-
+_GIGA = 1e9
+_CERTAIN = 20.0
 _NO_BURDEN = Burden()
 
 
@@ -212,16 +139,16 @@
         reading = self._reading(job, runner, holder, held)
         away = self._away(runner)
         wait_s = runner.backlog.wait_s(job.priority, now_s=now_s)
-        expected_s = (
-            ROUND_TRIP_S[away] + wait_s + reading.time_s + FIRST_TOKEN_S * runner.pace
-        )
+        expected_s = ROUND_TRIP_S[away] + wait_s + reading.time_s
         cost_s = expected_s + reading.cost_s + _region_cost_s(job, away) + burden.cost_s
+        cost_s += _late_cost_s(job, expected_s)
         if runner.entry.stage is Stage.DECODE:
-            cost_s += HOLD_UP_FACTOR * burden.streams * reading.work_s
+            cost_s += HOLD_UP_FACTOR * burden.streams**2 * reading.work_s
         return DirectPlan(
             runner=runner,
             fetch_from=reading.fetch_from,
             expected_s=expected_s,
+            idle=runner.backlog.idle(now_s=now_s),
             work_s=reading.work_s,
             new_tokens=reading.new_tokens,
             cost_s=cost_s,
@@ -241,22 +168,29 @@
         kept = runner.residency.matched_tokens(job.parts)
         move_s, move_cost_s = self._transfer(reader, runner, job.tokens - kept)
         reader_away, runner_away = self._away(reader), self._away(runner)
-        expected_s = (
+        read_s = (
             ROUND_TRIP_S[reader_away]
             + reader.backlog.wait_s(job.priority, now_s=now_s)
             + reading.time_s
-            + ROUND_TRIP_S[runner_away]
+        )
+        stream_s = (
+            ROUND_TRIP_S[runner_away]
             + move_s
             + runner.backlog.wait_s(job.priority, now_s=now_s)
-            + FIRST_TOKEN_S * runner.pace
+            + STREAM_START_S
         )
+        expected_s = read_s + stream_s
         cost_s = expected_s + reading.cost_s + move_cost_s + burden.cost_s
+        cost_s += _late_cost_s(job, expected_s)
         cost_s += _region_cost_s(job, reader_away) + _region_cost_s(job, runner_away)
         return SplitPlan(
             reader=reader,
             runner=runner,
             fetch_from=reading.fetch_from,
-            expected_s=expected_s,
+            read_s=read_s,
+            stream_s=stream_s,
+            move_s=move_s,
+            idle=reader.backlog.idle(now_s=now_s),
             work_s=reading.work_s,
             new_tokens=reading.new_tokens,
             cost_s=cost_s,
@@ -298,6 +232,7 @@
         distance = self.geography.distance(source.entry.zone, target.entry.zone)
         size = tokens * self.profile.token_bytes
         time_s = size / self.profile.link_bytes_s * TRANSFER_FACTOR[distance]
+        time_s *= max(source.link_pace.value, target.link_pace.value)
         factor = 1.0 + distance
         cost_s = TRANSFER_COST_S_GB * factor * size / _GIGA + LINK_FACTOR * time_s
         return TRANSFER_SETUP_S + time_s, cost_s
@@ -315,6 +250,14 @@
     fetch_from: EngineAccount | None = None
 
 
+def _late_cost_s(job: PromptJob, expected_s: float) -> float:
+    """Return the cost of a first token that may come late, in s."""
+    over = (expected_s - job.late_in_s) / LATE_SPREAD_S
+    if over < -_CERTAIN:
+        return 0.0
+    return LATE_COST_S / (1.0 + math.exp(-min(over, _CERTAIN)))
+
+
 def _region_cost_s(job: PromptJob, distance: Distance) -> float:
     if distance is not Distance.OTHER_REGION:
         return 0.0
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -13,12 +13,18 @@
 from lacewinglug.host.context import Attempt, HostState, RequestContext
 from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
 from lacewinglug.host.placing import PromptPlacer
+from lacewinglug.host.plans import (
+    DirectPlan,
+    PromptPlan,
+    SplitPlan,
+    learn_move,
+    learn_reading,
+)
 from lacewinglug.host.prefills import (
     FIRST_EVENT_PATIENCE,
     SHORTEST_PATIENCE_S,
     Prefiller,
 )
-from lacewinglug.host.prompts import DirectPlan, PromptPlan, SplitPlan
 from lacewinglug.platform.headers import decode_answer, encode_answer
 from lacewinglug.wire.client import UpstreamError
 from lacewinglug.wire.messages import Response
@@ -323,8 +329,11 @@
         self.state.metrics.latency_s.labels(context.service.name).observe(
             now_s - context.request.received_s
         )
-        if isinstance(plan, DirectPlan):
-            plan.runner.note_first_token(expected_s=plan.expected_s, actual_s=took_s)
+        match plan:
+            case DirectPlan():
+                learn_reading(plan, took_s=took_s)
+            case SplitPlan():
+                learn_move(plan, took_s=took_s)
 
     def _first_wait_s(self, context: RequestContext, plan: PromptPlan) -> float | None:
         if not self._may_move(context):
