Let readers take streams at once when the engines that ran them have left

Changed: the view of runners tells those that left (seen draining, or missing after an outage's grace) from those that fell silent; no wait for the former, nor after a start that never saw any. Every host notes the engines that stream, so that a new planner goes on counting. Without any, the planner looks twice a second. A restarted host that alone has ever claimed the tenure, as the whole log shows, waits for no lease.

Ruled out: a shorter wait for all (crashed engines are back within ten seconds).

--- a/lacewinglug/host/fleet.py
+++ b/lacewinglug/host/fleet.py
@@ -1,7 +1,7 @@
 """The runners as last read from the store, and what outlives its outages."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
 from lacewinglug.host.model import RunnerEntry
@@ -11,6 +11,8 @@
 REGISTRATION_GRACE_S = 2.0
 """Time after the store's return in which lapsed entries come back, in s; stated
 by the platform."""
+MOST_GONE = 256
+"""Runners that have left and are remembered, several times a service."""
 
 
 @dataclass(kw_only=True)
@@ -24,6 +26,8 @@
     _entries: dict[str, RunnerEntry] = field(default_factory=dict)
     _by_service: dict[str, tuple[RunnerEntry, ...]] = field(default_factory=dict)
     _drained: dict[str, int] = field(default_factory=dict)
+    _awaited: Set[str] = frozenset()
+    _gone: dict[str, None] = field(default_factory=dict)
     _away: bool = False
     _grace_until_s: float = float("-inf")
 
@@ -64,9 +68,15 @@
         if grace_s > 0:
             self._grace_until_s = max(self._grace_until_s, now_s + grace_s)
         fresh = {item.instance: self._settle(item) for item in entries}
-        if now_s <= self._grace_until_s:
-            for instance, entry in self._entries.items():
-                fresh.setdefault(instance, entry)
+        for instance in fresh:
+            self._gone.pop(instance, None)
+        missing = self._entries.keys() - fresh.keys()
+        if now_s > self._grace_until_s:
+            self._note_gone(missing)
+            missing = set()
+        for instance in missing:
+            fresh[instance] = self._entries[instance]
+        self._awaited = missing
         self._log_changes(fresh)
         self._entries = fresh
         self._drained = {
@@ -83,6 +93,14 @@
         """Return the entry of a runner that has not left."""
         return self._entries.get(instance)
 
+    def has_left(self, instance: str) -> bool:
+        """Return whether a runner leaves, or has left and will not come back.
+
+        A runner that was silent may have crashed, and may come back.
+        """
+        entry = self._entries.get(instance)
+        return instance in self._gone if entry is None else entry.draining
+
     @property
     def entries(self) -> tuple[RunnerEntry, ...]:
         """All entries, draining ones included."""
@@ -94,6 +112,14 @@
             return entry
         return self._entries[entry.instance]
 
+    def _note_gone(self, missing: Iterable[str]) -> None:
+        """Remember runners that left by plan, or were missed after an outage."""
+        for instance in missing:
+            if self._entries[instance].draining or instance in self._awaited:
+                self._gone[instance] = None
+        while len(self._gone) > MOST_GONE:
+            del self._gone[next(iter(self._gone))]
+
     def _log_changes(self, fresh: dict[str, RunnerEntry]) -> None:
         for instance in self._entries.keys() - fresh.keys():
             logger.info("runner left", extra={"runner": instance})
--- a/lacewinglug/host/stages.py
+++ b/lacewinglug/host/stages.py
@@ -19,8 +19,9 @@
 FEWEST_ENGINES = 4
 """Engines of a service below which none is changed while one runs streams."""
 LOST_FOR_S = 15.0
-"""Time without an engine that runs streams after which those that did are taken as
-gone, in s; crashed ones are back within about ten, sooner than a change pays."""
+"""Time without an engine that runs streams after which those that fell silent are
+taken as gone, in s; crashed ones are back within about ten, sooner than a change
+pays."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,7 +43,8 @@
 
     :param entries: engines that take work.
     :param streams: streams that run at all of them.
-    :param without_runner_s: time for which none of them could run streams, in s.
+    :param without_runner_s: time for which none of them could run streams, in s;
+        infinite where those that could will not come back.
     """
     readers = [item for item in entries if item.stage is Stage.PREFILL]
     runners = [item for item in entries if item.stage is Stage.DECODE]
--- a/lacewinglug/host/steward.py
+++ b/lacewinglug/host/steward.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lacewinglug.host.context import HostState
@@ -37,10 +38,25 @@
 s; the platform says that it may take twelve."""
 SWITCH_MARGIN_S = 1.5
 """Time beyond an engine's change until hosts see it in the store, in s."""
+LOOK_EVERY_S = 0.5
+"""Time between looks at the engines, in s; a service that none of them streams for
+is planned at once."""
 STABLE_S = 1.0
 """Time for which a plan must stay the same before it is carried out, in s."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Sighting:
+    """Engines that ran streams when any was last seen.
+
+    :param instances: these engines.
+    :param at_s: monotonic time.
+    """
+
+    instances: frozenset[str]
+    at_s: float
+
+
 @dataclass(kw_only=True)
 class StageSteward:
     """Owns the plan of stages, and the orders that carry it out.
@@ -56,15 +72,19 @@
     is_planner: Callable[[], bool]
     tell_switching: Callable[[str], None]
     _unsettled_until_s: dict[str, float] = field(default_factory=dict)
-    _runner_seen_s: dict[str, float] = field(default_factory=dict)
+    _runners: dict[str, "_Sighting"] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Plan again and again, until cancelled."""
         await asyncio.sleep(SETTLE_S)
+        planned_s = -math.inf
         while True:
-            if self.is_planner():
+            all_stream = self.note_runners()
+            due = self.state.now_s() - planned_s >= PLAN_EVERY_S
+            if self.is_planner() and (due or not all_stream):
                 await self._plan_all()
-            await asyncio.sleep(PLAN_EVERY_S)
+                planned_s = self.state.now_s()
+            await asyncio.sleep(LOOK_EVERY_S)
 
     async def _plan_all(self) -> None:
         configuration = self.state.routes.configuration
@@ -90,12 +110,13 @@
 
     def _changes(self, service: Service) -> list[StageChange]:
         """Return the changes that may be ordered now."""
+        self.note_runners()
         now_s = self.state.now_s()
         entries = self.state.fleet.ready(service.name)
         streams = sum(
             self.state.upstreams.health(item.instance).in_use(now_s) for item in entries
         )
-        without_runner_s = now_s - self._note_runners(service.name, entries, now_s)
+        without_runner_s = self.without_runner_s(service.name, now_s=now_s)
         return [
             change
             for change in plan_stages(
@@ -104,13 +125,39 @@
             if self._unsettled_until_s.get(change.entry.instance, 0.0) <= now_s
         ]
 
-    def _note_runners(
-        self, service: str, entries: Sequence[RunnerEntry], now_s: float
-    ) -> float:
-        """Return when an engine that runs streams was last seen, in s."""
-        if any(item.stage is Stage.DECODE for item in entries):
-            self._runner_seen_s[service] = now_s
-        return self._runner_seen_s.setdefault(service, now_s)
+    def note_runners(self) -> bool:
+        """Note which engines run streams, as every host may be the next to plan.
+
+        :returns: whether each model service has one.
+        """
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return True
+        now_s = self.state.now_s()
+        all_stream = True
+        for service in configuration.services.values():
+            if service.engine is None:
+                continue
+            running = frozenset(
+                item.instance
+                for item in self.state.fleet.ready(service.name)
+                if item.stage is Stage.DECODE
+            )
+            if running:
+                sighting = _Sighting(instances=running, at_s=now_s)
+                self._runners[service.name] = sighting
+            all_stream = all_stream and bool(running)
+        return all_stream
+
+    def without_runner_s(self, service: str, *, now_s: float) -> float:
+        """Return for how long no engine has run streams, in s.
+
+        It is infinite where none will come back by itself.
+        """
+        seen = self._runners.get(service)
+        if seen is None or all(map(self.state.fleet.has_left, seen.instances)):
+            return math.inf
+        return now_s - seen.at_s
 
     async def _carry_out(
         self, service: Service, change: StageChange, tenure: Tenure
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -86,10 +86,10 @@
         if claimed is None:
             self._give_up("another host claimed at the same time")
             return None
-        self._tenure = claimed
-        # The holder before may have an order on its way, sent before this claim.
-        await self.sleep(self.lease_s + CLAIM_MARGIN_S)
-        return claimed if await self.still_holds() else None
+        self._tenure, alone = claimed
+        # Another holder may have an order on its way, sent before this claim.
+        await self.sleep(CLAIM_MARGIN_S + (0.0 if alone else self.lease_s))
+        return self._tenure if await self.still_holds() else None
 
     async def still_holds(self) -> bool:
         """Return whether no later claim stands in the log, by reading it now."""
@@ -121,19 +121,35 @@
         """Stop at once: an engine has seen a higher fencing number."""
         self._give_up("an engine refused the fencing number")
 
-    async def _claim(self) -> Tenure | None:
-        _, end_offset = await self.store.read_records(CLAIMS_TOPIC, from_offset=0)
+    async def _claim(self) -> tuple[Tenure, bool] | None:
+        """Return a new tenure and whether all before it were of this host.
+
+        Its own process of before has ended, since only one runs.
+        """
+        records, end_offset = await self.store.read_records(CLAIMS_TOPIC, from_offset=0)
         data = msgspec.msgpack.encode(
             _Claim(host=self.host, incarnation=self.incarnation)
         )
         if not await self.store.append_at(CLAIMS_TOPIC, data, offset=end_offset):
             return None
         logger.info("tenure claimed", extra={"fencing_number": end_offset + 1})
-        return Tenure(
+        claimed = Tenure(
             holder=self.host, fencing_number=end_offset + 1, claim_offset=end_offset
         )
+        holders = {_holder(record) for record in records}
+        alone = len(records) == end_offset and holders == {self.host}
+        return claimed, alone
 
     def _give_up(self, reason: str) -> None:
         logger.info("tenure given up", extra={"reason": reason})
         self._tenure = None
         self._paused_until_s = self.now_s() + REFUSED_PAUSE_S
+
+
+def _holder(record: bytes) -> str | None:
+    """Return the host that made a claim, None where it cannot be read."""
+    try:
+        return msgspec.msgpack.decode(record, type=_Claim).host
+    except msgspec.DecodeError as error:
+        logger.warning("claim cannot be read: %s", error)
+        return None
--- a/tests/host/test_tenure.py
+++ b/tests/host/test_tenure.py
@@ -73,6 +73,39 @@
     assert time.slept == [3.0 + CLAIM_MARGIN_S]
 
 
+def test_a_restarted_host_that_alone_has_claimed_waits_for_no_lease():
+    """fresh-be97 of skibus-pladser: all hosts were killed while no engine streamed."""
+    log, time = Log(), Time()
+    run(make_keeper(log, time, "a").acquire())
+    time.slept.clear()
+    assert run(make_keeper(log, time, "a").acquire()).fencing_number == 2
+    assert time.slept == [CLAIM_MARGIN_S]
+
+
+def test_a_restarted_host_waits_for_the_lease_of_any_other_host():
+    """It may have been killed while it waited for the lease itself."""
+    log, time = Log(), Time()
+    for host in ("b", "a", "a"):
+        time.slept.clear()
+        run(make_keeper(log, time, host).acquire())
+        assert time.slept == [3.0 + CLAIM_MARGIN_S]
+
+
+def test_a_log_that_has_lost_claims_tells_of_no_other_holder():
+    log, time = Log(), Time()
+    for _ in range(2):
+        run(make_keeper(log, time, "a").acquire())
+    kept = log.records[1:]
+    log.read_records = lambda *_, from_offset: _answer(kept, 2, from_offset)
+    time.slept.clear()
+    run(make_keeper(log, time, "a").acquire())
+    assert time.slept[0] == 3.0 + CLAIM_MARGIN_S
+
+
+async def _answer(records, end, from_offset):
+    return (records if from_offset < end else []), end
+
+
 def test_a_later_claim_ends_the_tenure_before_the_next_order():
     log, time = Log(), Time()
     first = make_keeper(log, time, "a")
