Judge a hand-over by what follows it, and compute each reading once

The choice of the engine that streams, made anew after the reading, still counted the reading, so every engine looked too late and lateness decided nothing. The log's `first event` has the time that was expected of the engine that streams, without the reading.

--- a/lacewinglug/host/prompts.py
+++ b/lacewinglug/host/prompts.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from lacewinglug.host.distance import (
     ROUND_TRIP_S,
@@ -82,19 +82,20 @@
         holder, held = find_holder(accounts, job.parts, now_s=now_s)
         held = min(held, job.tokens - 1)
         runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
-        readers = _preferred(accounts, avoided, stages=(Stage.PREFILL,))
         known = burdens or {}
-        plans: list[PromptPlan] = []
-        for runner in runners:
-            burden = known.get(runner.entry.instance, _NO_BURDEN)
-            plans.append(self._direct(job, runner, holder, held, burden, now_s))
-            if not allow_split:
-                continue
-            for reader in readers:
-                failing = known.get(reader.entry.instance, _NO_BURDEN).failure_share
-                plan = self._split(job, reader, runner, holder, held, burden, now_s)
-                cost_s = plan.cost_s + FAILURE_COST_S * failing
-                plans.append(replace(plan, cost_s=cost_s))
+        plans: list[PromptPlan] = [
+            self._direct(job, runner, holder, held, _burden(known, runner), now_s)
+            for runner in runners
+        ]
+        if allow_split:
+            readers = _preferred(accounts, avoided, stages=(Stage.PREFILL,))
+            apart = [
+                self._read_apart(
+                    job, reader, holder, held, _burden(known, reader), now_s
+                )
+                for reader in readers
+            ]
+            plans += self._split_all(job, apart, runners, known, now_s)
         return min(plans, key=lambda plan: plan.cost_s, default=None)
 
     def plan_transfer(
@@ -112,19 +113,14 @@
         :param reader: engine that has read it.
         """
         runners = _preferred(accounts, avoided, stages=(Stage.DECODE, Stage.NONE))
-        known = burdens or {}
-        plans = [
-            self._split(
-                job,
-                reader,
-                runner,
-                None,
-                0,
-                known.get(runner.entry.instance, _NO_BURDEN),
-                now_s,
-            )
-            for runner in runners
-        ]
+        done = _ApartReading(
+            reader=reader,
+            reading=_Reading(work_s=0.0, time_s=0.0, new_tokens=0, cost_s=0.0),
+            read_s=0.0,
+            idle=False,
+            cost_s=0.0,
+        )
+        plans = self._split_all(job, [done], runners, burdens or {}, now_s)
         return min(plans, key=lambda plan: plan.cost_s, default=None)
 
     def _direct(
@@ -133,7 +129,7 @@
         runner: EngineAccount,
         holder: EngineAccount | None,
         held: int,
-        burden: "Burden",
+        burden: Burden,
         now_s: float,
     ) -> DirectPlan:
         reading = self._reading(job, runner, holder, held)
@@ -154,46 +150,81 @@
             cost_s=cost_s,
         )
 
-    def _split(
+    def _read_apart(
         self,
         job: PromptJob,
         reader: EngineAccount,
-        runner: EngineAccount,
         holder: EngineAccount | None,
         held: int,
-        burden: "Burden",
+        burden: Burden,
         now_s: float,
-    ) -> SplitPlan:
+    ) -> "_ApartReading":
         reading = self._reading(job, reader, holder, held)
-        kept = runner.residency.matched_tokens(job.parts)
-        move_s, move_cost_s = self._transfer(reader, runner, job.tokens - kept)
-        reader_away, runner_away = self._away(reader), self._away(runner)
-        read_s = (
-            ROUND_TRIP_S[reader_away]
-            + reader.backlog.wait_s(job.priority, now_s=now_s)
-            + reading.time_s
-        )
-        stream_s = (
-            ROUND_TRIP_S[runner_away]
-            + move_s
-            + runner.backlog.wait_s(job.priority, now_s=now_s)
-            + STREAM_START_S
+        away = self._away(reader)
+        wait_s = reader.backlog.wait_s(job.priority, now_s=now_s)
+        cost_s = reading.cost_s + _region_cost_s(job, away)
+        return _ApartReading(
+            reader=reader,
+            reading=reading,
+            read_s=ROUND_TRIP_S[away] + wait_s + reading.time_s,
+            idle=reader.backlog.idle(now_s=now_s),
+            cost_s=cost_s + FAILURE_COST_S * burden.failure_share,
         )
-        expected_s = read_s + stream_s
-        cost_s = expected_s + reading.cost_s + move_cost_s + burden.cost_s
-        cost_s += _late_cost_s(job, expected_s)
-        cost_s += _region_cost_s(job, reader_away) + _region_cost_s(job, runner_away)
+
+    def _split_all(
+        self,
+        job: PromptJob,
+        apart: Sequence["_ApartReading"],
+        runners: Sequence[EngineAccount],
+        burdens: dict[str, Burden],
+        now_s: float,
+    ) -> list[SplitPlan]:
+        """Return the plans for all pairs of a reading and an engine that streams."""
+        plans = []
+        for runner in runners:
+            away = self._away(runner)
+            start_s = (
+                ROUND_TRIP_S[away]
+                + runner.backlog.wait_s(job.priority, now_s=now_s)
+                + STREAM_START_S
+            )
+            cost_s = _burden(burdens, runner).cost_s + _region_cost_s(job, away)
+            tokens = job.tokens - runner.residency.matched_tokens(job.parts)
+            plans += [
+                self._split(job, item, runner, tokens, start_s, cost_s)
+                for item in apart
+            ]
+        return plans
+
+    def _split(
+        self,
+        job: PromptJob,
+        apart: "_ApartReading",
+        runner: EngineAccount,
+        tokens: int,
+        start_s: float,
+        runner_cost_s: float,
+    ) -> SplitPlan:
+        """Return the plan for a pair of a reading and an engine that streams.
+
+        :param tokens: tokens whose KV cache moves.
+        :param start_s: time from the call of the runner to the first token, but for
+            the move.
+        """
+        move_s, move_cost_s = self._transfer(apart.reader, runner, tokens)
+        expected_s = apart.read_s + start_s + move_s
+        cost_s = expected_s + apart.cost_s + move_cost_s + runner_cost_s
         return SplitPlan(
-            reader=reader,
+            reader=apart.reader,
             runner=runner,
-            fetch_from=reading.fetch_from,
-            read_s=read_s,
-            stream_s=stream_s,
+            fetch_from=apart.reading.fetch_from,
+            read_s=apart.read_s,
+            stream_s=start_s + move_s,
             move_s=move_s,
-            idle=reader.backlog.idle(now_s=now_s),
-            work_s=reading.work_s,
-            new_tokens=reading.new_tokens,
-            cost_s=cost_s,
+            idle=apart.idle,
+            work_s=apart.reading.work_s,
+            new_tokens=apart.reading.new_tokens,
+            cost_s=cost_s + _late_cost_s(job, expected_s),
         )
 
     def _reading(
@@ -250,6 +281,21 @@
     fetch_from: EngineAccount | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _ApartReading:
+    """How an engine reads a prompt whose stream runs at another one."""
+
+    reader: EngineAccount
+    reading: _Reading
+    read_s: float
+    idle: bool
+    cost_s: float
+
+
+def _burden(burdens: dict[str, Burden], account: EngineAccount) -> Burden:
+    return burdens.get(account.entry.instance, _NO_BURDEN)
+
+
 def _late_cost_s(job: PromptJob, expected_s: float) -> float:
     """Return the cost of a first token that may come late, in s."""
     over = (expected_s - job.late_in_s) / LATE_SPREAD_S
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -320,20 +320,22 @@
     ) -> None:
         now_s = self.state.now_s()
         took_s = now_s - attempt.started_s
+        match plan:
+            case DirectPlan():
+                expected_s = plan.expected_s
+                learn_reading(plan, took_s=took_s)
+            case SplitPlan():
+                expected_s = plan.stream_s
+                learn_move(plan, took_s=took_s)
         context.story.add(
             "first event",
             now_s=now_s,
-            expected_ms=round(plan.expected_s * 1000),
+            expected_ms=round(expected_s * 1000),
             took_ms=round(took_s * 1000),
         )
         self.state.metrics.latency_s.labels(context.service.name).observe(
             now_s - context.request.received_s
         )
-        match plan:
-            case DirectPlan():
-                learn_reading(plan, took_s=took_s)
-            case SplitPlan():
-                learn_move(plan, took_s=took_s)
 
     def _first_wait_s(self, context: RequestContext, plan: PromptPlan) -> float | None:
         if not self._may_move(context):
--- a/tests/host/test_prompts.py
+++ b/tests/host/test_prompts.py
@@ -174,3 +174,15 @@
     assert far.runner.entry.instance == "run-qc"
     readers = [item for item in fleet.accounts() if item.entry.stage is Stage.PREFILL]
     assert fleet.planner.plan_transfer(LONG, reader, readers, now_s=1.0) is None
+
+
+def test_a_prompt_that_was_read_is_late_by_what_follows_only():
+    """The reading is over, so a start in time elsewhere is worth a longer move."""
+    fleet = Fleet()
+    fleet.work("run-mtl", seconds=1.4)
+    reader = fleet.accounts()[0]
+    for late_in_s, runner in ((0.17, "run-qc"), (3.0, "run-mtl")):
+        job = replace(LONG, late_in_s=late_in_s)
+        plan = fleet.planner.plan_transfer(job, reader, fleet.accounts(), now_s=1.0)
+        assert plan.runner.entry.instance == runner
+        assert plan.expected_s == plan.stream_s
