--- a/harness/deployment.py
+++ b/harness/deployment.py
@@ -41,11 +41,17 @@
     :param example: name of the folder below ``examples``.
     :param folder: empty folder for configuration, settings and logs.
     :param entry_settings: fields of the entry's settings, as TOML lines.
+    :param platform_ports: port at which a host finds the platform, by host, where a
+        relay stands between them.
+    :param control_ports: port on which a host's steward listens, by host, where a
+        relay listens on the declared one.
     """
 
     example: str
     folder: Path
     entry_settings: str = "address_ttl_s = 0.3\nleave_notice_s = 0.2\n"
+    platform_ports: dict[str, int] = field(default_factory=dict)
+    control_ports: dict[str, int] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -138,15 +144,18 @@
     def _write_settings(self, host: str) -> Path:
         item = self.fleet.hosts[host]
         path = self.folder / f"{host}.toml"
+        port = self.platform_ports.get(host, self.base_port + _PLATFORM_PORT)
+        platform_url = f"http://127.0.0.1:{port}"
+        control_port = self.control_ports.get(host, item.control_port)
         path.write_text(
             f'[host]\nname = "{host}"\n'
             f'availability_zone = "{item.availability_zone}"\n'
             f'address = "{item.address}"\n\n'
-            f'[platform]\nlog_url = "{self.platform_url}"\n'
-            f'host_list_url = "{self.platform_url}"\n'
-            f'weight_store_url = "{self.platform_url}"\n\n'
+            f'[platform]\nlog_url = "{platform_url}"\n'
+            f'host_list_url = "{platform_url}"\n'
+            f'weight_store_url = "{platform_url}"\n\n'
             f"[entry]\nport = {item.entry_port}\n{self.entry_settings}\n"
-            f"[steward]\ncontrol_port = {item.control_port}\n"
+            f"[steward]\ncontrol_port = {control_port}\n"
         )
         return path
 
