--- a/lacewinglug/host/steward.py
+++ b/lacewinglug/host/steward.py
@@ -72,7 +72,7 @@
     is_planner: Callable[[], bool]
     tell_switching: Callable[[str], None]
     _unsettled_until_s: dict[str, float] = field(default_factory=dict)
-    _runners: dict[str, "_Sighting"] = field(default_factory=dict)
+    _runners: dict[str, _Sighting] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Plan again and again, until cancelled."""
@@ -141,7 +141,7 @@
             running = frozenset(
                 item.instance
                 for item in self.state.fleet.ready(service.name)
-                if item.stage is Stage.DECODE
+                if item.stage is not Stage.PREFILL
             )
             if running:
                 sighting = _Sighting(instances=running, at_s=now_s)
--- a/tests/host/test_steward.py
+++ b/tests/host/test_steward.py
@@ -112,3 +112,11 @@
     for at_s in (2.0, 4.0, 16.0):
         fleet.see(reader, at_s=at_s)
     assert fleet.without_runner_s == 16.0
+
+
+def test_engines_without_stages_stream():
+    fleet = Fleet()
+    fleet.view.update([make_engine("a", stage=Stage.NONE)], now_s=0.0)
+    assert fleet.steward.note_runners()
+    fleet.view.update([make_engine("a", stage=Stage.PREFILL)], now_s=1.0)
+    assert not fleet.steward.note_runners()
