Tell machines of one name apart in claims of the tenure

A replacement may come under the name of the machine that it replaces, whose last order may still be on its way; only the same machine may leave out the lease. Its test fails with the name alone.

--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -130,6 +130,7 @@
             keeper=TenureKeeper(
                 store=store,
                 host=settings.name,
+                ip=settings.ip,
                 incarnation=own.incarnation,
                 lease_s=settings.lease_s,
                 now_s=self.state.now_s,
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -27,6 +27,7 @@
 class _Claim(msgspec.Struct, array_like=True):
     host: str
     incarnation: int
+    ip: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +50,7 @@
 
     :param store: client of the store.
     :param host: name of this host.
+    :param ip: its address; another machine may come under the same name.
     :param incarnation: start of its process.
     :param lease_s: time that a holder's orders keep others from giving any.
     :param now_s: returns monotonic seconds.
@@ -58,6 +60,7 @@
 
     store: StoreClient
     host: str
+    ip: str
     incarnation: int
     lease_s: float
     now_s: Callable[[], float]
@@ -127,9 +130,8 @@
         Its own process of before has ended, since only one runs.
         """
         records, end_offset = await self.store.read_records(CLAIMS_TOPIC, from_offset=0)
-        data = msgspec.msgpack.encode(
-            _Claim(host=self.host, incarnation=self.incarnation)
-        )
+        claim = _Claim(host=self.host, incarnation=self.incarnation, ip=self.ip)
+        data = msgspec.msgpack.encode(claim)
         if not await self.store.append_at(CLAIMS_TOPIC, data, offset=end_offset):
             return None
         logger.info("tenure claimed", extra={"fencing_number": end_offset + 1})
@@ -137,7 +139,7 @@
             holder=self.host, fencing_number=end_offset + 1, claim_offset=end_offset
         )
         holders = {_holder(record) for record in records}
-        alone = len(records) == end_offset and holders == {self.host}
+        alone = len(records) == end_offset and holders == {(self.host, self.ip)}
         return claimed, alone
 
     def _give_up(self, reason: str) -> None:
@@ -146,10 +148,11 @@
         self._paused_until_s = self.now_s() + REFUSED_PAUSE_S
 
 
-def _holder(record: bytes) -> str | None:
-    """Return the host that made a claim, None where it cannot be read."""
+def _holder(record: bytes) -> tuple[str, str] | None:
+    """Return the name and address of a claim's host, None where it cannot be read."""
     try:
-        return msgspec.msgpack.decode(record, type=_Claim).host
+        claim = msgspec.msgpack.decode(record, type=_Claim)
     except msgspec.DecodeError as error:
         logger.warning("claim cannot be read: %s", error)
         return None
+    return claim.host, claim.ip
--- a/tests/host/test_tenure.py
+++ b/tests/host/test_tenure.py
@@ -50,10 +50,11 @@
         self.now += delay_s
 
 
-def make_keeper(log, time, host):
+def make_keeper(log, time, host, ip="10.0.0.1"):
     return TenureKeeper(
         store=log,
         host=host,
+        ip=ip,
         incarnation=1,
         lease_s=3.0,
         now_s=time.now_s,
@@ -91,6 +92,14 @@
         assert time.slept == [3.0 + CLAIM_MARGIN_S]
 
 
+def test_another_machine_under_the_same_name_waits_for_the_lease():
+    log, time = Log(), Time()
+    run(make_keeper(log, time, "a").acquire())
+    time.slept.clear()
+    run(make_keeper(log, time, "a", ip="10.0.0.2").acquire())
+    assert time.slept == [3.0 + CLAIM_MARGIN_S]
+
+
 def test_a_log_that_has_lost_claims_tells_of_no_other_holder():
     log, time = Log(), Time()
     for _ in range(2):
