Tell engines that crash under a prompt from lost answers

On-call engineers could not see from the logs whether an engine had ended when a request lost its answer, nor which prompt parts it was working on: a crash, a reset and a spoiled answer all read 'malformed response'.

When a connection ends before an answer or within its first quarter of a second, the host now connects once more, at most once per engine and crash, and keeps the connection if that works. Only a refused connection counts as a crash: the log line 'engine crashed while it began an answer' names request, engine and shared parts, and lacewinglug_engine_crashes_total counts. A machine that is cut off does not respond and is no crash.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from lacewinglug.host.budget import RetryBudget
 from lacewinglug.host.distance import Geography
@@ -19,6 +20,7 @@
     Stage,
 )
 from lacewinglug.host.reporting import HostMetrics, RequestTrace
+from lacewinglug.host.residency import format_part
 from lacewinglug.host.routes import RouteTable
 from lacewinglug.host.upstreams import Upstreams
 from lacewinglug.platform.headers import (
@@ -71,7 +73,7 @@
     engines: EngineTracker = field(default_factory=EngineTracker)
     upstreams: Upstreams = field(init=False)
     geography: Geography = field(init=False)
-    background_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    background_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -157,6 +159,8 @@
     :param trace: decisions made for the request, for its log line.
     :param attempt_count: number of attempts that reached a runner.
     :param tried_instances: instances that were tried.
+    :param part_keys: keys of the parts of the prompt, without the last one, which no
+        other request has.
     """
 
     request: Request
@@ -168,6 +172,16 @@
     trace: RequestTrace
     attempt_count: int = 0
     tried_instances: set[str] = field(default_factory=set)
+    part_keys: tuple[int, ...] = ()
+
+    def describe_parts(self) -> dict[str, str]:
+        """Return the key of each part by its id, for the log."""
+        prompt = self.metadata.prompt
+        ids = [part.part_id for part in prompt.parts] if prompt else []
+        return {
+            part_id: format_part(key)
+            for part_id, key in zip(ids, self.part_keys, strict=False)
+        }
 
     @property
     def target_deadline_s(self) -> float:
@@ -220,6 +234,7 @@
     :param state: state of the host.
     :param context: the request.
     :param entry: the runner.
+    :param first_event_s: monotonic time of the first event of a stream, None before it.
     """
 
     def __init__(
@@ -233,6 +248,7 @@
         self._pool: ConnectionPool = state.upstreams.pool(entry, context.service)
         self._connection: ClientConnection | None = None
         self._stale_responses = 0
+        self.first_event_s: float | None = None
 
     async def connect(self) -> None:
         """Acquire a connection to the runner.
--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -12,6 +12,7 @@
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.prefills import PrefillClient
 from lacewinglug.host.reporting import RequestReporter, RequestTrace
+from lacewinglug.host.residency import hash_parts
 from lacewinglug.host.routes import choose_service
 from lacewinglug.host.streams import StreamRelay
 from lacewinglug.platform.headers import ConflictingHeadersError, decode_request
@@ -99,6 +100,7 @@
             expires_s=_expiry_s(request, metadata, route),
             lifecycle=RequestLifecycle(idempotent=route.idempotent),
             trace=trace,
+            part_keys=_shared_part_keys(metadata),
         )
 
     async def _serve(self, context: RequestContext, exchange: Exchange) -> None:
@@ -164,6 +166,13 @@
     return min(expires_s, client_s)
 
 
+def _shared_part_keys(metadata: RequestMetadata) -> tuple[int, ...]:
+    """Return the keys of the parts that other prompts may share."""
+    if metadata.prompt is None:
+        return ()
+    return tuple(part.key for part in hash_parts(metadata.prompt)[:-1])
+
+
 def _refuse(
     trace: RequestTrace, refusal: Refusal, error: Exception | None = None
 ) -> Response:
--- a/lacewinglug/host/reporting.py
+++ b/lacewinglug/host/reporting.py
@@ -92,6 +92,12 @@
             ["service", "result"],
             registry=self.registry,
         )
+        self.engine_crashes = Counter(
+            "lacewinglug_engine_crashes",
+            "Engines that crashed while they began an answer, by service",
+            ["service"],
+            registry=self.registry,
+        )
         self.store_failures = Counter(
             "lacewinglug_store_failures",
             "Calls to the store that failed, by what was wanted",
--- a/lacewinglug/host/residency.py
+++ b/lacewinglug/host/residency.py
@@ -37,6 +37,11 @@
     return tuple(hash_part(prompt.model, part) for part in prompt.parts)
 
 
+def format_part(key: int) -> str:
+    """Return the key of a part as it appears in logs."""
+    return f"{key:016x}"
+
+
 @dataclass(kw_only=True, slots=True)
 class _CachedPart:
     tokens: int
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import (
@@ -11,6 +11,7 @@
     REJECTED_RETRY_AFTER_S,
 )
 from lacewinglug.host.context import Attempt, HostState, RequestContext
+from lacewinglug.host.crashes import ANSWER_START_S, CrashMonitor
 from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.plans import (
@@ -97,6 +98,10 @@
     state: HostState
     placer: PromptPlacer
     prefill_client: PrefillClient
+    _crash_monitor: CrashMonitor = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._crash_monitor = CrashMonitor(state=self.state)
 
     async def relay(
         self, context: RequestContext, exchange: Exchange
@@ -260,10 +265,17 @@
             attempt.health.record_incomplete(
                 silent=isinstance(error, TimeoutError), now_s=self.state.now_s()
             )
+            if isinstance(error, UpstreamError) and self._is_beginning(attempt):
+                self._crash_monitor.examine_loss(context, engine.entry)
             return _AttemptFailed(reason=str(error) or "silent")
         finally:
             attempt.close()
 
+    def _is_beginning(self, attempt: Attempt) -> bool:
+        """Return whether the answer of an attempt is yet to begin, or just began."""
+        began_s = attempt.first_event_s
+        return began_s is None or self.state.now_s() - began_s < ANSWER_START_S
+
     async def _relay_response(
         self,
         context: RequestContext,
@@ -385,6 +397,7 @@
         """Record the time to the first event in estimates, request log and metrics."""
         now_s = self.state.now_s()
         elapsed_s = now_s - attempt.started_s
+        attempt.first_event_s = now_s
         match plan:
             case ColocatedPlan():
                 expected_s = plan.expected_ttft_s
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -19,12 +19,15 @@
 
     :param reason: short description for logs and metrics.
     :param sent: whether any byte of the request may have been sent.
+    :param refused: whether the upstream's machine refused the connection, so that no
+        process listens there.
     """
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
+    def __init__(self, reason: str, *, sent: bool, refused: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.refused = refused
 
 
 class ClientConnection(asyncio.Protocol):
@@ -250,5 +253,8 @@
     except TimeoutError:
         raise UpstreamError("connect timeout", sent=False) from None
     except (OSError, ValueError) as error:
-        raise UpstreamError(f"connect failed: {error}", sent=False) from None
+        refused = isinstance(error, ConnectionRefusedError)
+        raise UpstreamError(
+            f"connect failed: {error}", sent=False, refused=refused
+        ) from None
     return connection
--- a/lacewinglug/wire/pool.py
+++ b/lacewinglug/wire/pool.py
@@ -73,6 +73,19 @@
             raise
         return connection
 
+    async def refuses_connections(self, *, timeout_s: float) -> bool:
+        """Return whether no process listens at the address of the upstream.
+
+        A connection that is opened to find out is kept for the next request.
+        """
+        try:
+            connection = await self.acquire(timeout_s=timeout_s)
+        except UpstreamError as error:
+            return error.refused
+        connection.idle_since_s = self.now_s()
+        self._idle_connections.append(connection)
+        return False
+
     def release(self, connection: ClientConnection, headers: Headers) -> None:
         """Return a connection to the pool after a complete response.
 
