Let tests on virtual time use sockets on loopback

A wait of the event loop on virtual time looked at the sockets without any real time for bytes to arrive. With io_wait_s it first waits that long. The default stays 0, so that existing tests do not change.

--- a/harness/virtual_time.py
+++ b/harness/virtual_time.py
@@ -11,15 +11,19 @@
 
 
 class _VirtualTimeSelector(selectors.SelectSelector):
-    """Advances virtual time by the timeout of each wait instead of blocking."""
+    """Advances virtual time by the timeout of each wait instead of blocking.
 
-    def __init__(self) -> None:
+    :param io_wait_s: real time to wait for data on sockets before that, in seconds.
+    """
+
+    def __init__(self, *, io_wait_s: float = 0.0) -> None:
         super().__init__()
         self.now_s = 0.0
+        self._io_wait_s = io_wait_s
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return the ready events; if there are none, advance time by the timeout."""
-        events = super().select(0)
+        events = super().select(0 if timeout == 0 else self._io_wait_s)
         if events:
             return events
         if timeout is None:
@@ -31,10 +35,14 @@
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop on virtual time."""
+    """An event loop on virtual time.
+
+    :param io_wait_s: real time to wait for data on sockets before virtual time
+        advances, in seconds.
+    """
 
-    def __init__(self) -> None:
-        self._time_selector = _VirtualTimeSelector()
+    def __init__(self, *, io_wait_s: float = 0.0) -> None:
+        self._time_selector = _VirtualTimeSelector(io_wait_s=io_wait_s)
         super().__init__(self._time_selector)
 
     def time(self) -> float:
@@ -58,12 +66,16 @@
         await asyncio.sleep(delay_s)
 
 
-def run_virtual(coroutine: Coroutine[Any, Any, ResultT]) -> ResultT:
+def run_virtual(
+    coroutine: Coroutine[Any, Any, ResultT], *, io_wait_s: float = 0.0
+) -> ResultT:
     """Run a coroutine to completion on virtual time.
 
+    :param io_wait_s: real time to wait for data on sockets before virtual time
+        advances, in seconds; needed only if the coroutine uses sockets.
     :raises TimeoutError: it does not complete within one virtual hour.
     """
-    loop = VirtualTimeLoop()
+    loop = VirtualTimeLoop(io_wait_s=io_wait_s)
     try:
         return loop.run_until_complete(asyncio.wait_for(coroutine, _MAX_DURATION_S))
     finally:
