Report why a client connection ended, and whether it left a request unanswered

The logs and metrics could not tell a fault of a handler before routing from a connection that was closed under its request: neither was counted. Each end of a client connection is now counted by its reason; one that leaves a whole request without a complete response is also logged with the id of the request. Unexpected errors are counted by type, before routing too. Lines keep to the rate limit of failures.

--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -14,7 +14,11 @@
 from lacewinglug.host.reporting import RequestReporter, RequestTrace
 from lacewinglug.host.routes import choose_service
 from lacewinglug.host.streams import StreamRelay
-from lacewinglug.platform.headers import ConflictingHeadersError, decode_request
+from lacewinglug.platform.headers import (
+    ConflictingHeadersError,
+    decode_request,
+    decode_request_id,
+)
 from lacewinglug.wire.messages import Request, Response
 from lacewinglug.wire.server import Exchange
 
@@ -49,21 +53,29 @@
 
     async def handle(self, request: Request, exchange: Exchange) -> None:
         """Handle one request; the task is cancelled if the client disconnects."""
-        trace = RequestTrace(request_id="", started_s=request.received_s)
-        prepared = self._prepare(request, trace)
-        if isinstance(prepared, Response):
-            await exchange.respond(prepared)
-            self._record_completion(trace, outcome="refused", status=prepared.status)
-            return
+        trace = RequestTrace(
+            request_id=decode_request_id(request), started_s=request.received_s
+        )
+        try:
+            prepared = self._prepare(request, trace)
+            if isinstance(prepared, Response):
+                await exchange.respond(prepared)
+                self._record_completion(
+                    trace, outcome="refused", status=prepared.status
+                )
+                return
+        except Exception as error:
+            self._record_internal_error(error, trace)
+            raise
         try:
             await self._serve(prepared, exchange)
         except asyncio.CancelledError:
             prepared.lifecycle.apply("leave")
             self._record_completion(trace, outcome="client_left", status=0)
             raise
-        except Exception:
+        except Exception as error:
             exchange.abort()
-            self._record_completion(trace, outcome="internal_error", status=0)
+            self._record_internal_error(error, trace)
             raise
 
     def _prepare(
@@ -148,6 +160,15 @@
             return refuse_as_not_run(RefusalReason.NO_TIME)
         return Refusal(status=504, reason=RefusalReason.TIMED_OUT)
 
+    def _record_internal_error(self, error: Exception, trace: RequestTrace) -> None:
+        self.reporter.record_internal_error(
+            error,
+            what="request",
+            request_id=trace.request_id,
+            now_s=self.state.now_s(),
+        )
+        self._record_completion(trace, outcome="internal_error", status=0)
+
     def _record_completion(
         self, trace: RequestTrace, *, outcome: str, status: int
     ) -> None:
--- a/lacewinglug/host/listeners.py
+++ b/lacewinglug/host/listeners.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass, field
 
 from lacewinglug.errors import UserError
-from lacewinglug.wire.server import ClientLimits, ConnectionRegistry, Handler
+from lacewinglug.wire.messages import Request
+from lacewinglug.wire.server import (
+    ClientLimits,
+    ConnectionRegistry,
+    EndReason,
+    Handler,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +28,8 @@
     :param address: ``IP:PORT`` to listen on.
     :param handler: handles requests.
     :param limits: returns the current limits for clients.
+    :param on_end: called when a connection has ended, with its last request if that
+        was received whole and its response is incomplete.
     :param registry: open connections.
     """
 
@@ -29,11 +37,14 @@
     address: str
     handler: Handler
     limits: Callable[[], ClientLimits] = ClientLimits
+    on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     registry: ConnectionRegistry = field(init=False)
     _server: asyncio.Server | None = None
 
     def __post_init__(self) -> None:
-        self.registry = ConnectionRegistry(handler=self.handler, limits=self.limits)
+        self.registry = ConnectionRegistry(
+            handler=self.handler, limits=self.limits, on_end=self.on_end
+        )
 
     async def open(self) -> None:
         """Start listening.
@@ -62,8 +73,7 @@
     def close(self) -> None:
         """Stop listening and abort all connections."""
         self.stop_accepting()
-        for connection in list(self.registry.connections):
-            connection.abort()
+        self.registry.abort_all()
 
     def stop_accepting(self) -> None:
         """Stop accepting connections; open ones stay open."""
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -37,7 +37,7 @@
 from lacewinglug.platform.settings import load_settings
 from lacewinglug.platform.store import StoreClient
 from lacewinglug.wire.messages import Request, Response
-from lacewinglug.wire.server import ClientLimits, Exchange
+from lacewinglug.wire.server import ClientLimits, EndReason, Exchange
 
 logger = logging.getLogger(__name__)
 
@@ -149,14 +149,14 @@
             is_planner=self._is_planner,
             announce_stage_change=self._peers.announce_stage_change,
         )
-        dispatcher = Dispatcher(
-            state=self.state, reporter=RequestReporter(metrics=self._metrics)
-        )
+        self._reporter = RequestReporter(metrics=self._metrics)
+        dispatcher = Dispatcher(state=self.state, reporter=self._reporter)
         self._client_listener = Listener(
             name="clients",
             address=settings.client_address,
             handler=dispatcher.handle,
             limits=self._client_limits,
+            on_end=self._record_connection_end,
         )
         self._internal_listeners = [
             Listener(
@@ -317,6 +317,13 @@
         serving = self.host_table.serving_peers(now_s=self.state.now_s())
         return self.ready and all(host.name > self.settings.name for host in serving)
 
+    def _record_connection_end(
+        self, reason: EndReason, unanswered: Request | None
+    ) -> None:
+        self._reporter.record_connection_end(
+            reason, unanswered, now_s=self.state.now_s()
+        )
+
     def _client_limits(self) -> ClientLimits:
         configuration = self.state.routes.configuration
         if configuration is None or configuration.limits is None:
--- a/lacewinglug/host/reporting.py
+++ b/lacewinglug/host/reporting.py
@@ -6,6 +6,10 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from lacewinglug.platform.headers import decode_request_id
+from lacewinglug.wire.messages import Request
+from lacewinglug.wire.server import EndReason
+
 logger = logging.getLogger(__name__)
 
 SUCCESS_LINES_PER_S = 20.0
@@ -98,6 +102,24 @@
             ["what"],
             registry=self.registry,
         )
+        self.connection_ends = Counter(
+            "lacewinglug_client_connections_ended",
+            "Client connections that ended, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.unanswered_requests = Counter(
+            "lacewinglug_unanswered_requests",
+            "Whole requests whose connection ended without a complete response",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.internal_errors = Counter(
+            "lacewinglug_internal_errors",
+            "Unexpected errors, by what failed and type of the error",
+            ["what", "error"],
+            registry=self.registry,
+        )
         self.dropped_log_lines = Counter(
             "lacewinglug_log_lines_left_out",
             "Log lines over the budget",
@@ -162,3 +184,40 @@
                 "steps": trace.steps,
             },
         )
+
+    def record_connection_end(
+        self, reason: EndReason, unanswered: Request | None, *, now_s: float
+    ) -> None:
+        """Count the end of a client connection; log it if it left a request unanswered.
+
+        :param unanswered: request that was received whole and has no complete response.
+        """
+        self.metrics.connection_ends.labels(reason.value).inc()
+        if unanswered is None:
+            return
+        self.metrics.unanswered_requests.labels(reason.value).inc()
+        if not self._failure_limiter.try_acquire(now_s):
+            self.metrics.dropped_log_lines.inc()
+            return
+        logger.warning(
+            "connection ended without a complete response",
+            extra={
+                "request_id": decode_request_id(unanswered),
+                "reason": reason.value,
+                "after_ms": round((now_s - unanswered.received_s) * 1000),
+            },
+        )
+
+    def record_internal_error(
+        self, error: Exception, *, what: str, request_id: str, now_s: float
+    ) -> None:
+        """Count an unexpected error in the handling of a request, and log it."""
+        self.metrics.internal_errors.labels(what, type(error).__name__).inc()
+        if not self._failure_limiter.try_acquire(now_s):
+            self.metrics.dropped_log_lines.inc()
+            return
+        logger.error(
+            "unexpected error",
+            extra={"what": what, "request_id": request_id},
+            exc_info=error,
+        )
--- a/lacewinglug/platform/headers.py
+++ b/lacewinglug/platform/headers.py
@@ -100,6 +100,12 @@
     )
 
 
+def decode_request_id(request: Request) -> str:
+    """Return the id of a client's request, empty if it has none; used in logs."""
+    found = first_header(request.headers, _REQUEST_ID.lower()) or b""
+    return found.decode("ascii", "replace")
+
+
 def encode_request_headers(request: Request, call: ForwardingFields) -> Headers:
     """Return the headers with which a client's request is forwarded to a runner."""
     dropped = set(_INTERNAL_HEADERS)
--- a/lacewinglug/report/explain.py
+++ b/lacewinglug/report/explain.py
@@ -50,7 +50,9 @@
             fields = json.loads(line[start:]) if start >= 0 else None
         except ValueError:
             continue
-        if not isinstance(fields, dict) or fields.get("request_id") != request_id:
+        if not isinstance(fields, dict) or "outcome" not in fields:
+            continue
+        if fields.get("request_id") != request_id:
             continue
         time, host = str(fields.get("time", "")), str(fields.get("host", ""))
         found.append(RequestEnd(time=time, host=host, fields=fields))
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 import h11
@@ -59,6 +60,20 @@
 Handler = Callable[[Request, Exchange], Awaitable[None]]
 
 
+class EndReason(Enum):
+    """Why a client connection ended."""
+
+    CLIENT_CLOSED = "client_closed"
+    CLIENT_RESET = "client_reset"
+    CLIENT_SILENT = "client_silent"
+    IDLE = "idle"
+    LAST_RESPONSE = "last_response"
+    REJECTED = "rejected"
+    CUT = "cut"
+    INTERNAL_ERROR = "internal_error"
+    HOST_STOPS = "host_stops"
+
+
 class RequestRejectedError(Exception):
     """A request is invalid and is rejected before it reaches the handler.
 
@@ -80,11 +95,14 @@
     :param limits: returns the current limits, which apply to new connections.
     :param close_after_response: whether connections are closed after their next
         response.
+    :param on_end: called when a connection has ended, with its last request if that
+        was received whole and its response is incomplete.
     """
 
     handler: Handler
     limits: Callable[[], ClientLimits]
     close_after_response: bool = False
+    on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     connections: set["ServerConnection"] = field(default_factory=set)
 
     def make_connection(self) -> "ServerConnection":
@@ -100,7 +118,12 @@
         """Close the connections without a request in progress."""
         for item in list(self.connections):
             if not item.has_active_request:
-                item.close()
+                item.close(EndReason.HOST_STOPS)
+
+    def abort_all(self) -> None:
+        """Abort all connections."""
+        for item in list(self.connections):
+            item.abort(EndReason.HOST_STOPS)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -123,6 +146,8 @@
         self._loop = asyncio.get_running_loop()
         self._request_started_s = 0.0
         self._request_active = False
+        self._unanswered: Request | None = None
+        self._end_reason: EndReason | None = None
         self._buffered_bytes = 0
         self._reading_paused = False
 
@@ -153,11 +178,19 @@
 
     def eof_received(self) -> bool:
         """Close the connection when the client closes its side."""
+        self._note_end(EndReason.CLIENT_CLOSED)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Unregister the connection and cancel its handler."""
+        """Unregister the connection, report its end and cancel its handler."""
         self._registry.connections.discard(self)
+        self._note_end(
+            EndReason.CLIENT_RESET
+            if isinstance(exc, ConnectionError)
+            else EndReason.CLIENT_SILENT
+        )
+        assert self._end_reason is not None
+        self._registry.on_end(self._end_reason, self._unanswered)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
@@ -170,13 +203,15 @@
         """Resume the handler."""
         self._writable.set()
 
-    def close(self) -> None:
+    def close(self, reason: EndReason = EndReason.LAST_RESPONSE) -> None:
         """Close the connection after flushing written data."""
+        self._note_end(reason)
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: EndReason = EndReason.CUT) -> None:
         """Close the connection immediately."""
+        self._note_end(reason)
         if self._transport is not None:
             self._transport.abort()
 
@@ -218,8 +253,16 @@
 
     def _send(self, event: h11.Event) -> None:
         data = self._h11.send(event)
-        if data and self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        if data:
             self._transport.write(data)
+        if isinstance(event, h11.EndOfMessage):
+            self._unanswered = None
+
+    def _note_end(self, reason: EndReason) -> None:
+        """Keep the first reason why the connection ends."""
+        self._end_reason = self._end_reason or reason
 
     async def _serve_requests(self) -> None:
         try:
@@ -229,7 +272,7 @@
             raise
         except Exception:
             logger.exception("aborting a client connection after an internal error")
-            self.abort()
+            self.abort(EndReason.INTERNAL_ERROR)
         finally:
             self.close()
 
@@ -239,9 +282,12 @@
             request = await self._read_request()
         except RequestRejectedError as error:
             await self._send_rejection(error)
+            self._note_end(EndReason.REJECTED)
             return False
         if request is None:
+            self._note_end(EndReason.IDLE)
             return False
+        self._unanswered = request
         await self._registry.handler(request, self)
         return self._prepare_next_request()
 
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lacewinglug.wire.messages import Response, end_to_end_headers
-from lacewinglug.wire.server import ClientLimits, ConnectionRegistry
+from lacewinglug.wire.server import ClientLimits, ConnectionRegistry, EndReason
 
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -17,8 +17,11 @@
         self.requests = []
         self.cancelled = asyncio.Event()
         self.responder = responder or self.respond
+        self.ends = asyncio.Queue()
         self.registry = ConnectionRegistry(
-            handler=self.handle, limits=lambda: ClientLimits(**limits)
+            handler=self.handle,
+            limits=lambda: ClientLimits(**limits),
+            on_end=lambda *end: self.ends.put_nowait(end),
         )
 
     async def respond(self, exchange):
@@ -157,6 +160,50 @@
         assert status(await reader.readuntil(b"\r\n\r\n")) == 200
 
 
+async def _wait_until_cancelled(_exchange):
+    await asyncio.sleep(600)
+
+
+async def _cut(exchange):
+    await exchange.start_response(200, ())
+    exchange.abort()
+
+
+async def _fail(_exchange):
+    raise ValueError("planted")
+
+
+@pytest.mark.parametrize(
+    ("responder", "client_leaves", "reason"),
+    [
+        (_wait_until_cancelled, True, EndReason.CLIENT_CLOSED),
+        (_cut, False, EndReason.CUT),
+        (_fail, False, EndReason.INTERNAL_ERROR),
+    ],
+)
+async def test_the_reason_of_an_unanswered_request_is_reported(
+    responder, client_leaves, reason
+):
+    async with Server(responder) as server, asyncio.timeout(30):
+        _, writer = await server.open()
+        writer.write(POST)
+        while not server.requests:
+            await asyncio.sleep(0.01)
+        if client_leaves:
+            writer.close()
+        assert await server.ends.get() == (reason, server.requests[0])
+
+
+async def test_the_end_of_a_connection_without_an_open_request_is_reported():
+    async with Server(idle_timeout_s=0.1) as server, asyncio.timeout(30):
+        await server.exchange(POST)
+        assert await server.ends.get() == (EndReason.IDLE, None)
+        await server.exchange(POST.replace(b"Host", b"Connection: close\r\nHost"))
+        assert await server.ends.get() == (EndReason.LAST_RESPONSE, None)
+        await server.exchange(POST.replace(b"Host", b"Host : "))
+        assert await server.ends.get() == (EndReason.REJECTED, None)
+
+
 def test_end_to_end_headers_removes_connection_headers():
     headers = (
         (b"Host", b"a"),
