Keep the host running when one of its tasks fails unexpectedly

Callers saw all connections to a host reset and then refused: an unexpected error in any of nine tasks ended the process. Two triggers were found in probes: a configuration whose engines have 0 slots or a link of 0 Mbit/s (the stage controller of every host divides by them), and one request that announces 10 000 000 000 tokens (their pairs do not fit into the datagram that announces the work).

--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -58,6 +58,13 @@
 """Time for which an engine that another host ordered to change its stage gets no
 work, in s: a typical change takes three seconds, the rest covers the age of the view
 of runners."""
+MIN_RESTART_DELAY_S = 0.1
+"""Delay before a task that failed unexpectedly runs again, in s; doubles each time.
+The first ones are much shorter than the silence after which a host gets no clients."""
+MAX_RESTART_DELAY_S = 1.0
+"""Maximum of that delay, in s; it bounds the log lines of a task that fails always."""
+RESTART_DELAY_RESET_S = 10.0
+"""Time for which a task has to run before the delay is the minimum again, in s."""
 SHUTDOWN_POLL_INTERVAL_S = 0.05
 """Interval of checking whether all connections are closed on shutdown, in s."""
 
@@ -199,36 +206,55 @@
         for seed in self.settings.seeds:
             self._peers.send_heartbeat_to(seed.rpartition(":")[0])
         tasks = [
-            asyncio.create_task(job())
-            for job in (
-                self._store_watch.follow_configuration,
-                self._store_watch.follow_runners,
-                self._store_watch.follow_hosts,
-                self._peers.send_heartbeats,
-                self._peers.send_work_batches,
-                self._peers.send_bundles,
-                self._steward.run,
-                self._run_maintenance,
-                self._watch_settings,
+            asyncio.create_task(self._keep_running(name, job))
+            for name, job in (
+                ("configuration", self._store_watch.follow_configuration),
+                ("runners", self._store_watch.follow_runners),
+                ("hosts", self._store_watch.follow_hosts),
+                ("heartbeats", self._peers.send_heartbeats),
+                ("work", self._peers.send_work_batches),
+                ("bundles", self._peers.send_bundles),
+                ("stages", self._steward.run),
+                ("maintenance", self._run_maintenance),
+                ("settings", self._watch_settings),
+                ("caches", self._cache_learner.run),
             )
         ]
         logger.info("host started", extra={"address": self.settings.client_address})
-        cache_task = asyncio.create_task(self._cache_learner.run())
-        stop_task = asyncio.create_task(self.stop_requested.wait())
         try:
-            done, _ = await asyncio.wait(
-                [stop_task, *tasks], return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done - {stop_task}:
-                task.result()
+            await self.stop_requested.wait()
             await self._shut_down()
         finally:
-            for task in (stop_task, cache_task, *tasks, *self.state.background_tasks):
+            for task in (*tasks, *self.state.background_tasks):
                 task.cancel()
             for listener in (*self._internal_listeners, self._client_listener):
                 listener.close()
             self._peers.close()
 
+    async def _keep_running(
+        self, name: str, job: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a job to its end, again after an unexpected error.
+
+        The requests in progress do not depend on any one of the jobs.
+        """
+        delay_s = MIN_RESTART_DELAY_S
+        while True:
+            started_s = self.state.now_s()
+            try:
+                await job()
+            except Exception as error:
+                now_s = self.state.now_s()
+                self._reporter.record_internal_error(
+                    error, what=name, request_id="", now_s=now_s
+                )
+                if now_s - started_s > RESTART_DELAY_RESET_S:
+                    delay_s = MIN_RESTART_DELAY_S
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
+            else:
+                return
+
     async def _shut_down(self) -> None:
         """Announce the shutdown, finish requests in progress and stop."""
         started_s = self.state.now_s()
