Decode numbers of any length in headers and event ids

A runner's load header of hundreds of digits failed in the same way for all requests of its service. Numbers are now limited where they are decoded.

--- a/lacewinglug/host/events.py
+++ b/lacewinglug/host/events.py
@@ -6,7 +6,7 @@
 MAX_EVENT_BYTES = 1_048_576
 """Size limit of a buffered incomplete event, in bytes."""
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
+_EVENT_ID = re.compile(rb"^id:[ ]?(\d{1,18})\s*$", re.MULTILINE)
 
 
 class EventTooLongError(Exception):
--- a/lacewinglug/platform/headers.py
+++ b/lacewinglug/platform/headers.py
@@ -75,6 +75,11 @@
 )
 _MS_PER_S = 1000
 _PERCENT = 100.0
+_MAX_NUMBER = 10**15
+"""Numbers above this are read as this one, so that arithmetic with them is safe."""
+_MAX_TOKENS = 2**30
+"""The same for numbers of tokens; the number of pairs of them has to fit into 64 bits,
+with which hosts tell each other of their work."""
 
 
 class ConflictingHeadersError(Exception):
@@ -168,8 +173,12 @@
     return values.pop() if values else b""
 
 
-def _decode_number(text: bytes) -> int | None:
-    return int(text) if text.isdigit() else None
+def _decode_number(text: bytes, *, limit: int = _MAX_NUMBER) -> int | None:
+    """Return a number of any length, at most the limit; None if it is not one."""
+    if not text.isdigit():
+        return None
+    digits = text.lstrip(b"0") or b"0"
+    return limit if len(digits) > len(str(limit)) else min(int(digits), limit)
 
 
 def _decode_deadline(headers: Headers) -> float | None:
@@ -179,14 +188,16 @@
 
 def _decode_prompt(headers: Headers) -> Prompt | None:
     model = _unique_value(headers, _MODEL)
-    counts = _unique_value(headers, _TOKEN_COUNT).split(b",")
-    if not model or not counts[0].isdigit():
+    counts = [
+        _decode_number(item, limit=_MAX_TOKENS)
+        for item in _unique_value(headers, _TOKEN_COUNT).split(b",")
+    ]
+    if not model or counts[0] is None:
         return None
-    output = counts[1] if len(counts) > 1 and counts[1].isdigit() else b"0"
     return Prompt(
         model=model.decode("latin-1"),
-        prompt_tokens=int(counts[0]),
-        max_output_tokens=int(output),
+        prompt_tokens=counts[0],
+        max_output_tokens=(counts[1] if len(counts) > 1 else None) or 0,
         parts=_decode_parts(_unique_value(headers, _PROMPT_PREFIX)),
     )
 
@@ -194,10 +205,11 @@
 def _decode_parts(text: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(b","):
-        part_id, _, tokens = item.strip().partition(b":")
-        if not part_id or not tokens.isdigit():
+        part_id, _, count = item.strip().partition(b":")
+        tokens = _decode_number(count, limit=_MAX_TOKENS)
+        if not part_id or tokens is None:
             break
-        parts.append(PromptPart(part_id=part_id.decode("latin-1"), tokens=int(tokens)))
+        parts.append(PromptPart(part_id=part_id.decode("latin-1"), tokens=tokens))
     return tuple(parts)
 
 
@@ -205,7 +217,7 @@
     if text is None:
         return None
     try:
-        numbers = [int(item) for item in text.split(b",")]
+        numbers = [min(max(0, int(item)), _MAX_NUMBER) for item in text.split(b",")]
         running, waiting, slots = numbers[:3]
     except ValueError:
         logger.warning("ignoring an invalid runner load header: %r", text[:40])
--- a/tests/host/test_dispatch.py
+++ b/tests/host/test_dispatch.py
@@ -1,8 +1,11 @@
 """Every whole request gets a response, whatever happens to it inside the host."""
 
+import asyncio
+
 import pytest
 
 from lacewinglug.host import calls, streams
+from lacewinglug.host.peers import MIN_BATCH_INTERVAL_S
 from lacewinglug.host.routes import RouteTable
 from tests.host.test_relay import make_app_runner, make_engines, running_scene
 
@@ -61,3 +64,27 @@
         assert (answer.status, answer.complete) == (200, False)
         metrics = scene.process._metrics.render().decode()
     assert 'unanswered_requests_total{reason="cut"} 1.0' in metrics
+
+
+# Regression test: such numbers left the request unanswered, or ended the host process.
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"X-Lacewinglug-Deadline-Ms": "9" * 400},
+        {"X-Lacewinglug-Deadline-Ms": "9" * 5000},
+        {"X-Lacewinglug-Token-Count": "10000000000,5"},
+        {"X-Lacewinglug-Token-Count": "9" * 400},
+        {"X-Lacewinglug-Prompt-Prefix": "a1:1" + "0" * 25 + ",b2:4000"},
+        {"Last-Event-Id": "9" * 400},
+    ],
+    ids=lambda headers: " ".join(
+        f"{key} {value[:9]}" for key, value in headers.items()
+    ),
+)
+async def test_a_request_with_huge_numbers_is_answered(headers):
+    async with running_scene(*make_engines()) as scene:
+        answer = await scene.send_request("/ask/1", **headers)
+        assert (answer.status, answer.complete) == (200, True)
+        await asyncio.sleep(10 * MIN_BATCH_INTERVAL_S)
+        assert (await scene.send_request("/ask/1")).complete
+        assert "internal_errors_total{" not in scene.process._metrics.render().decode()
--- a/tests/host/test_events.py
+++ b/tests/host/test_events.py
@@ -33,3 +33,9 @@
 def test_an_oversized_event_is_rejected():
     with pytest.raises(EventTooLongError):
         EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+def test_an_id_of_thousands_of_digits_counts_as_none():
+    """Regression test: it failed to decode, which cut the stream."""
+    (event,) = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: a\n\n")
+    assert event.event_id is None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -64,6 +64,33 @@
         assert facts.host == "a.example"
 
 
+# Regression test: such numbers failed to decode, or later in arithmetic, so that the
+# request got no answer; the announcement of such work to other hosts ended the process.
+@pytest.mark.parametrize("digits", [16, 400, 5000])
+def test_numbers_of_any_length_are_decoded(digits):
+    number = b"9" * digits
+    facts = decode_request(
+        make_request(
+            (b"X-Lacewinglug-Deadline-Ms", number),
+            (b"X-Lacewinglug-Model", b"m"),
+            (b"X-Lacewinglug-Token-Count", number + b"," + number),
+            (b"X-Lacewinglug-Prompt-Prefix", b"a:" + number + b",b:0" + number),
+            (b"Last-Event-Id", number),
+        )
+    )
+    assert facts.deadline_s > 1e9
+    assert facts.last_event >= 10**15
+    tokens = facts.prompt.prompt_tokens
+    assert facts.prompt.max_output_tokens == tokens
+    assert [part.tokens for part in facts.prompt.parts] == [tokens, tokens]
+    assert tokens > 10**9
+    assert tokens**2 < 2**63
+    load = decode_response_headers(
+        ((b"X-Lacewinglug-Server-Load", b"%s,-%s,6,%s" % (number, number, number)),)
+    ).load
+    assert load is None or load.running + load.queued + load.slowdown < 1e16
+
+
 def test_conflicting_request_ids_are_rejected():
     name = b"X-Lacewinglug-Request-Id"
     with pytest.raises(ConflictingHeadersError, match="send one"):
