Refuse expired requests without placing them

Beside a configuration that left the only route of a service neither a timeout nor a target, its requests got no answer: the priority and the cost of a prompt are relative to the longest target, which was 0. A request without time left is now refused before it is placed. The new test failed before with an unexpected ZeroDivisionError.

--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -116,21 +116,29 @@
         )
 
     async def _serve(self, context: RequestContext, exchange: Exchange) -> None:
-        try:
-            async with asyncio.timeout(context.remaining_s(self.state.now_s())):
-                result = await self._relay(context, exchange)
-        except TimeoutError:
-            result = self._make_timeout_refusal(context)
-        match result:
+        match await self._relay_in_time(context, exchange):
             case None:
                 context.lifecycle.apply("end")
                 self._record_completion(context.trace, outcome="answered", status=200)
-            case Response():
-                await self._respond(context, exchange, result, outcome="answered")
-            case Refusal(reason=reason):
-                response = result.to_response()
+            case Response() as response:
+                await self._respond(context, exchange, response, outcome="answered")
+            case Refusal(reason=reason) as refusal:
+                response = refusal.to_response()
                 await self._respond(context, exchange, response, outcome=reason.value)
 
+    async def _relay_in_time(
+        self, context: RequestContext, exchange: Exchange
+    ) -> Response | Refusal | None:
+        """Relay a request until it expires; one that has expired is not placed."""
+        remaining_s = context.remaining_s(self.state.now_s())
+        if remaining_s <= 0.0:
+            return self._make_timeout_refusal(context)
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._relay(context, exchange)
+        except TimeoutError:
+            return self._make_timeout_refusal(context)
+
     async def _relay(
         self, context: RequestContext, exchange: Exchange
     ) -> Response | Refusal | None:
--- a/tests/host/test_dispatch.py
+++ b/tests/host/test_dispatch.py
@@ -8,6 +8,7 @@
 from lacewinglug.host.peers import MIN_BATCH_INTERVAL_S
 from lacewinglug.host.routes import RouteTable
 from tests.host.test_relay import make_app_runner, make_engines, running_scene
+from tests.platform.scene import make_configuration, make_route
 
 
 def _fail(*_args, **_fields):
@@ -88,3 +89,14 @@
         await asyncio.sleep(10 * MIN_BATCH_INTERVAL_S)
         assert (await scene.send_request("/ask/1")).complete
         assert "internal_errors_total{" not in scene.process._metrics.render().decode()
+
+
+async def test_a_request_that_has_expired_is_refused_without_a_placement():
+    """Regression test: a service whose only route had neither time nor a target left
+    its requests without an answer, as their placement divides by the target."""
+    routes = [make_route("ask", "streaming", "llm", TimeoutMs=0, TargetLatencyMs=0)]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(*make_engines(), configuration=configuration) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.status, answer.complete) == (503, True)
+        assert "internal_errors_total{" not in scene.process._metrics.render().decode()
