Reject configurations and registrations with impossible numbers

A configuration whose engines have 0 slots or no link was applied; each host then failed whenever it placed a prompt or planned stages. A runner registered with port 99999 left each request that was placed there without an answer ('connect(): port must be 0-65535', which is no OSError). Such a version now counts as malformed and is logged, the previous one stays; such a registration is ignored like other malformed ones. Nine of the new cases failed before, with 'DID NOT RAISE' or a RecursionError.

--- a/lacewinglug/platform/records.py
+++ b/lacewinglug/platform/records.py
@@ -24,6 +24,7 @@
 _MS_PER_S = 1000
 _BITS_PER_BYTE = 8
 _BITS_PER_MBIT = 1_000_000
+_MAX_PORT = 65_535
 _REPEAT_BY_KIND = {
     "safe": RetryPolicy.SAFE,
     "unsafe": RetryPolicy.UNSAFE,
@@ -106,8 +107,14 @@
     try:
         raw = msgspec.json.decode(data, type=_Configuration)
         routes = tuple(_decode_route(item) for item in raw.routes)
-    except (msgspec.DecodeError, KeyError) as error:
+    except (msgspec.DecodeError, KeyError, RecursionError) as error:
         raise RecordError(f"invalid configuration: {error}") from None
+    for item in raw.services:
+        if item.engine is not None and not _is_usable(item.engine):
+            raise RecordError(
+                f"invalid configuration: service {item.name} has engines without "
+                "slots or link, or with a negative size; correct its Engine"
+            )
     return Configuration(
         version=raw.version,
         routes=routes,
@@ -128,7 +135,7 @@
     except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
         raise RecordError(f"invalid entry of runner {instance}: {error}") from None
     host, _, port = raw.address.rpartition(":")
-    if not host or not port.isdigit() or raw.slots < 1:
+    if not host or not _is_port(port) or raw.slots < 1:
         raise RecordError(f"invalid entry of runner {instance}: bad address or slots")
     return RunnerEntry(
         instance=instance,
@@ -143,6 +150,16 @@
     )
 
 
+def _is_port(text: str) -> bool:
+    return text.isascii() and text.isdigit() and 0 < int(text[:6]) <= _MAX_PORT
+
+
+def _is_usable(raw: _Engine) -> bool:
+    """Return whether times and costs can be derived from the constants of engines."""
+    sizes = (raw.kv_capacity_tokens, raw.kv_token_bytes, raw.handle_ttl_s, raw.switch_s)
+    return raw.slots >= 1 and raw.link_mbps > 0 and min(sizes) >= 0
+
+
 def _decode_route(raw: _Route) -> Route:
     shares = tuple(
         TrafficShare(service=item.service, weight=item.weight)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -22,7 +22,7 @@
     decode_configuration,
     decode_runner,
 )
-from tests.platform.scene import make_configuration, make_route
+from tests.platform.scene import ENGINE, make_configuration, make_route
 
 RUNNER = {
     "Service": "llm",
@@ -70,6 +70,23 @@
         decode_configuration(encode(make_configuration() | change))
 
 
+# Regression test: a host that applied such a version divided by zero when it placed a
+# prompt or planned the stages of the engines.
+@pytest.mark.parametrize(
+    "change", [{"Slots": 0}, {"LinkMbps": 0}, {"KvTokenBytes": -1}, {"SwitchS": -1}]
+)
+def test_a_configuration_with_impossible_engines_is_rejected(change):
+    configuration = make_configuration()
+    configuration["Services"][1]["Engine"] = ENGINE | change
+    with pytest.raises(RecordError, match="llm"):
+        decode_configuration(encode(configuration))
+
+
+def test_a_configuration_that_is_nested_too_deeply_is_rejected():
+    with pytest.raises(RecordError, match="configuration"):
+        decode_configuration(b'{"x":' + b"[" * 100_000)
+
+
 def test_runner_entry_is_decoded():
     entry = decode_runner("i-1", encode(RUNNER))
     assert (entry.stage, entry.cold_s, entry.draining) == (Stage.PREFILL, 0.5, False)
@@ -85,6 +102,10 @@
         {"Slots": 0},
         {"State": "asleep"},
         {"Address": "nowhere"},
+        {"Address": "10.0.0.1:0"},
+        {"Address": "10.0.0.1:65536"},
+        {"Address": "10.0.0.1:" + "9" * 5000},
+        {"Address": "10.0.0.1:\u00b2"},
         {"Zone": None},
         {"born": 1.5},
     ],
