Send refusals of HEAD requests without their body

A HEAD request that the host refused got a reset in place of the refusal: h11 rejects a body there, and the error aborted the connection.

--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -151,6 +151,7 @@
         self._request_started_s = 0.0
         self._request_active = False
         self._unanswered: Request | None = None
+        self._method = b""
         self._end_reason: EndReason | None = None
         self._buffered_bytes = 0
         self._reading_paused = False
@@ -231,7 +232,7 @@
         if closing:
             headers.append((b"Connection", b"close"))
         self._send(_make_response_head(response.status, headers))
-        if response.body:
+        if response.body and self._method != b"HEAD":
             self._send(h11.Data(data=response.body))
         self._send(h11.EndOfMessage())
         await self._writable.wait()
@@ -307,6 +308,7 @@
                 self.abort()
             return False
         self._h11.start_next_cycle()
+        self._method = b""
         remaining = len(self._h11.trailing_data[0])
         self._request_active = remaining > 0
         self._buffered_bytes = remaining
@@ -332,6 +334,7 @@
         head = await self._next_event(self._header_timeout_s, timeout_status=408)
         if not isinstance(head, h11.Request):
             return None
+        self._method = bytes(head.method)
         _check_framing(tuple(head.headers.raw_items()))
         if self._h11.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -138,6 +138,21 @@
             await reader.readuntil(b"\r\n0\r\n\r\n")
 
 
+async def test_a_response_to_head_has_no_body_and_keeps_the_connection():
+    """Regression test: a refusal of a HEAD request was aborted, as it has a body."""
+    head = POST.replace(b"POST", b"HEAD").replace(b": 2\r\n\r\nhi", b": 0\r\n\r\n")
+    async with Server() as server, asyncio.timeout(30):
+        reader, writer = await server.open()
+        for _ in range(2):
+            writer.write(head)
+            response = await reader.readuntil(b"\r\n\r\n")
+            assert status(response) == 200
+            assert b"Content-Length: 4" in response
+        writer.write(POST)
+        assert status(await reader.readuntil(b"\r\n\r\n")) == 200
+        assert await reader.readexactly(4) == b"done"
+
+
 async def test_closing_server_closes_connections_after_the_response():
     async with Server() as server:
         server.registry.close_after_response = True
