--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -15,7 +15,11 @@
 from lacewinglug.host.residency import hash_parts
 from lacewinglug.host.routes import choose_service
 from lacewinglug.host.streams import StreamRelay
-from lacewinglug.platform.headers import ConflictingHeadersError, decode_request
+from lacewinglug.platform.headers import (
+    ConflictingHeadersError,
+    decode_request,
+    decode_request_id,
+)
 from lacewinglug.wire.messages import Request, Response
 from lacewinglug.wire.server import Exchange
 
@@ -50,22 +54,32 @@
 
     async def handle(self, request: Request, exchange: Exchange) -> None:
         """Handle one request; the task is cancelled if the client disconnects."""
-        trace = RequestTrace(request_id="", started_s=request.received_s)
-        prepared = self._prepare(request, trace)
-        if isinstance(prepared, Response):
-            await exchange.respond(prepared)
-            self._record_completion(trace, outcome="refused", status=prepared.status)
-            return
+        trace = RequestTrace(
+            request_id=decode_request_id(request), started_s=request.received_s
+        )
+        prepared: RequestContext | Response | None = None
         try:
-            await self._serve(prepared, exchange)
+            prepared = self._prepare(request, trace)
+            match prepared:
+                case Response():
+                    await exchange.respond(prepared)
+                    self._record_completion(
+                        trace, outcome="refused", status=prepared.status
+                    )
+                case RequestContext():
+                    await self._serve(prepared, exchange)
         except asyncio.CancelledError:
-            prepared.lifecycle.apply("leave")
+            if isinstance(prepared, RequestContext):
+                prepared.lifecycle.apply("leave")
             self._record_completion(trace, outcome="client_left", status=0)
             raise
-        except Exception:
-            exchange.abort()
-            self._record_completion(trace, outcome="internal_error", status=0)
-            raise
+        except Exception as error:
+            self._record_internal_error(error, trace)
+            not_executed = (
+                not isinstance(prepared, RequestContext)
+                or prepared.lifecycle.not_executed
+            )
+            await self._respond_to_error(trace, exchange, not_executed=not_executed)
 
     def _prepare(
         self, request: Request, trace: RequestTrace
@@ -104,21 +118,29 @@
         )
 
     async def _serve(self, context: RequestContext, exchange: Exchange) -> None:
-        try:
-            async with asyncio.timeout(context.remaining_s(self.state.now_s())):
-                result = await self._relay(context, exchange)
-        except TimeoutError:
-            result = self._make_timeout_refusal(context)
-        match result:
+        match await self._relay_in_time(context, exchange):
             case None:
                 context.lifecycle.apply("end")
                 self._record_completion(context.trace, outcome="answered", status=200)
-            case Response():
-                await self._respond(context, exchange, result, outcome="answered")
-            case Refusal(reason=reason):
-                response = result.to_response()
+            case Response() as response:
+                await self._respond(context, exchange, response, outcome="answered")
+            case Refusal(reason=reason) as refusal:
+                response = refusal.to_response()
                 await self._respond(context, exchange, response, outcome=reason.value)
 
+    async def _relay_in_time(
+        self, context: RequestContext, exchange: Exchange
+    ) -> Response | Refusal | None:
+        """Relay a request until it expires; one that has expired is not placed."""
+        remaining_s = context.remaining_s(self.state.now_s())
+        if remaining_s <= 0.0:
+            return self._make_timeout_refusal(context)
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._relay(context, exchange)
+        except TimeoutError:
+            return self._make_timeout_refusal(context)
+
     async def _relay(
         self, context: RequestContext, exchange: Exchange
     ) -> Response | Refusal | None:
@@ -150,6 +172,34 @@
             return refuse_as_not_run(RefusalReason.NO_TIME)
         return Refusal(status=504, reason=RefusalReason.TIMED_OUT)
 
+    async def _respond_to_error(
+        self, trace: RequestTrace, exchange: Exchange, *, not_executed: bool
+    ) -> None:
+        """Send the final response of a request whose handling failed unexpectedly.
+
+        :param not_executed: whether it is certain that the request did not run.
+        """
+        refusal = (
+            refuse_as_not_run(RefusalReason.INTERNAL_ERROR)
+            if not_executed
+            else Refusal(status=502, reason=RefusalReason.INTERNAL_ERROR)
+        )
+        status = 0
+        if exchange.response_not_started:
+            await exchange.respond(refusal.to_response())
+            status = refusal.status
+        else:
+            exchange.abort()
+        self._record_completion(trace, outcome=refusal.reason.value, status=status)
+
+    def _record_internal_error(self, error: Exception, trace: RequestTrace) -> None:
+        self.reporter.record_internal_error(
+            error,
+            what="request",
+            request_id=trace.request_id,
+            now_s=self.state.now_s(),
+        )
+
     def _record_completion(
         self, trace: RequestTrace, *, outcome: str, status: int
     ) -> None:
--- a/lacewinglug/report/explain.py
+++ b/lacewinglug/report/explain.py
@@ -8,7 +8,7 @@
     "answered": "a runner answered; the client has the whole answer",
     "bad_request": "the request contradicts itself, so it was not passed on",
     "client_left": "the client left before its answer was whole",
-    "internal_error": "the host failed; see the exception in its log",
+    "internal_error": "the host failed; see its line `unexpected error`",
     "no_route": "no route of this configuration version matches",
     "no_runner": "no runner of the service took work",
     "no_time": "the answer was expected too late, so the request was not run",
@@ -50,7 +50,9 @@
             fields = json.loads(line[start:]) if start >= 0 else None
         except ValueError:
             continue
-        if not isinstance(fields, dict) or fields.get("request_id") != request_id:
+        if not isinstance(fields, dict) or "outcome" not in fields:
+            continue
+        if fields.get("request_id") != request_id:
             continue
         time, host = str(fields.get("time", "")), str(fields.get("host", ""))
         found.append(RequestEnd(time=time, host=host, fields=fields))
