Cut streams that end inside an event, or without one

Clients got a broken stream that looked complete: when an engine's response had neither a length nor chunks and its connection closed inside an event, or before the first one, the host passed on the torn event and the regular end of the body.

Cause: the relay took each regular end of the body for the end of the stream, and sent what was left over. An end inside an event now counts as a lost answer, so that the stream is resumed elsewhere or cut, and so does an end that only the connection marks before any event. An engine that closes regularly between two events cannot be told from one that has finished.

tests/host/test_streams.py: four of five failed before (200 and complete in place of a cut, a 502 and a resumed stream), all pass.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -334,13 +334,15 @@
             if progresses:
                 gap_timeout_s = self._gap_timeout_s(context)
                 next_event_by_s = _add_timeout(loop.time(), gap_timeout_s)
+        if splitter.remainder:
+            raise UpstreamError("stream ended inside an event", sent=True)
+        if first and head.ends_with_connection:
+            raise UpstreamError("stream ended before its first event", sent=True)
         attempt.release(head)
         attempt.health.record_result(failed=False, now_s=self.state.now_s())
         self._record_answer(context)
-        remainder = splitter.remainder
-        if remainder or not progress.head_sent:
-            event = Event(data=remainder, event_id=None)
-            await self._send_events(context, progress, exchange, head.headers, [event])
+        if not progress.head_sent:
+            await self._send_events(context, progress, exchange, head.headers, [])
         await exchange.finish()
         return _Completed()
 
--- a/lacewinglug/wire/messages.py
+++ b/lacewinglug/wire/messages.py
@@ -72,6 +72,12 @@
     status: int
     headers: Headers = field(default=())
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body ends where the upstream closes the connection."""
+        names = {name.lower() for name, _ in self.headers}
+        return names.isdisjoint({b"content-length", b"transfer-encoding"})
+
 
 def header_values(headers: Headers, name: bytes) -> list[bytes]:
     """Return all values of the header with a lower-case name."""
