Play chats among the prompts that crash engines, and judge hosts that join

Trials of remedies showed three gaps of the test. Sound prompts shared only first and second parts that had been served long before, so that blaming every part that is new passed; now half of the prompts have the part of a chat, and chats begin all the time. After crashes without a deadly prompt each host has to serve each of them. A remedy that needs fewer than five crashes left a host that starts later or was cut off unjudged; now at most three requests with the deadly part that it sends may reach engines in any case. Prompts of the last check were sent one after another, longer than the five seconds that it allows; now they are sent at once.

--- a/tests/host/prompt_fleet.py
+++ b/tests/host/prompt_fleet.py
@@ -20,7 +20,9 @@
 HOST_LOCATIONS = (("mtl-a", "mtl"), ("mtl-a", "mtl"), ("qc-a", "qc"))
 FIRST_PARTS = ("caller-a", "caller-b")
 SECOND_PARTS = ("tool-a", "tool-b", "tool-c")
-PART_TOKENS = {"caller": 9000, "tool": 3000, "bad": 2000, "own": 600}
+PART_TOKENS = {"caller": 9000, "tool": 3000, "chat": 1500, "bad": 2000, "own": 600}
+PROMPTS_PER_CHAT = 16
+"""Number of prompts, of any chat or none, from one new chat to the next."""
 ROUTES = ("ask", "notes")
 DEADLINE_MS = 2000
 CLIENT_PATIENCE_S = DEADLINE_MS / 1000 + 0.5
@@ -71,41 +73,60 @@
 class PromptLoad:
     """Draws prompts: sound ones of shared parts, and some with a deadly part.
 
-    No two prompts are alike: the last part of each is its own.
+    No two prompts are alike: the last part of each is its own. Half of the prompts
+    belong to a chat, whose part comes before that; new chats begin all the time.
+
+    :param chats: parts of all chats so far.
     """
 
     def __init__(self, *, seed):
         self.random = random.Random(seed)
+        self.chats = []
         self._count = 0
 
     def sound(self, first=None, second=None, route=None):
         """Return a prompt without a deadly part."""
         parts = (first or self._pick(FIRST_PARTS), second or self._pick(SECOND_PARTS))
-        return Prompt(
-            route=route or self._pick(ROUTES), parts=(*parts, self._own_part())
-        )
+        if self._toss():
+            parts += (self._chat_part(),)
+        return self._make_prompt(parts, route=route)
+
+    def sound_of_chat(self, chat):
+        """Return a prompt of a chat without a deadly part."""
+        parts = (self._pick(FIRST_PARTS), self._pick(SECOND_PARTS), chat)
+        return self._make_prompt(parts)
 
     def deadly(self, part, first=None, second=None):
-        """Return a prompt with a deadly part behind one or two shared ones."""
+        """Return a prompt with a deadly part behind one or more shared ones."""
         parts = (first or self._pick(FIRST_PARTS),)
-        if second or self.random.random() < 0.5:
+        if second or self._toss():
             parts += (second or self._pick(SECOND_PARTS),)
-        return Prompt(
-            route=self._pick(ROUTES),
-            parts=(*parts, part, self._own_part()),
-            deadly=True,
-        )
+        if self._toss():
+            parts += (self._chat_part(),)
+        return self._make_prompt((*parts, part), deadly=True)
 
     def pause_s(self, per_s):
         """Return a random time between two prompts of a rate."""
         return self.random.uniform(0.5, 1.5) / per_s
 
+    def _make_prompt(self, shared_parts, *, route=None, deadly=False):
+        self._count += 1
+        return Prompt(
+            route=route or self._pick(ROUTES),
+            parts=(*shared_parts, f"own-{self._count}"),
+            deadly=deadly,
+        )
+
+    def _chat_part(self):
+        if self._count >= PROMPTS_PER_CHAT * len(self.chats):
+            self.chats.append(f"chat-{len(self.chats) + 1}")
+        return self.chats[-1]
+
     def _pick(self, items):
         return self.random.choice(items)
 
-    def _own_part(self):
-        self._count += 1
-        return f"own-{self._count}"
+    def _toss(self):
+        return self.random.random() < 0.5
 
 
 @dataclass(kw_only=True)
--- a/tests/host/test_crashing_prompts.py
+++ b/tests/host/test_crashing_prompts.py
@@ -1,6 +1,8 @@
 """Prompts with a part that crashes each engine that begins to answer them."""
 
 import asyncio
+import functools
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -99,30 +101,36 @@
             await asyncio.sleep(0.05)
 
     def late_arrivals(self):
-        """Return the requests with a deadly part that reached engines too late.
+        """Return the requests with a deadly part that reached engines too late."""
+        if len(self.fleet.crashes_s) < FREE_CRASHES:
+            return []
+        return self.deadly_arrivals(
+            lambda host: (
+                max(self.fifth_crash_s, self.in_touch_since_s.get(host, 0.0)) + STABLE_S
+            )
+        )
+
+    def deadly_arrivals(self, start_s):
+        """Return the requests with a deadly part that reached engines.
 
         The prefill of a prompt and the answer that follows it count once.
+
+        :param start_s: returns the time from which the requests of a host count.
         """
         fleet = self.fleet
-        if len(fleet.crashes_s) < FREE_CRASHES:
-            return []
-        late = [
+        found = [
             arrival
             for arrival in fleet.arrivals
             if fleet.deadly_parts.intersection(arrival.parts[:-1])
-            and arrival.at_s > self._stable_s(fleet.host_of_request[arrival.request_id])
+            and arrival.at_s > start_s(fleet.host_of_request[arrival.request_id])
         ]
-        answered = {item.request_id for item in late if not item.prefill_only}
+        answered = {item.request_id for item in found if not item.prefill_only}
         return [
             arrival
-            for arrival in late
+            for arrival in found
             if not (arrival.prefill_only and arrival.request_id in answered)
         ]
 
-    def _stable_s(self, host):
-        in_touch_s = self.in_touch_since_s.get(host, 0.0)
-        return max(self.fifth_crash_s, in_touch_s) + STABLE_S
-
     def count_begun(self, *, start_s=0.0, end_s):
         """Return how many sound prompts began at the first attempt, and how many came,
         by route and first part.
@@ -171,6 +179,13 @@
     assert len(episode.late_arrivals()) <= MAX_LATE_ARRIVALS
 
 
+def assert_host_knows_deadly_part(episode, name, *, since_s):
+    """A host needs no crashes of its own, even if there were fewer than five."""
+    starts_s = {name: since_s}
+    arrivals = episode.deadly_arrivals(lambda host: starts_s.get(host, math.inf))
+    assert len(arrivals) <= MAX_LATE_ARRIVALS
+
+
 def assert_sound_prompts_begin(episode):
     """Sound prompts of each route and first part begin at least half as often."""
     usual = episode.count_usual()
@@ -201,20 +216,43 @@
     ]
 
 
-async def assert_every_part_is_served(fleet):
-    """Each host soon serves prompts of each sound part on each route."""
+async def assert_shared_parts_are_served(fleet):
+    """Each host soon serves prompts of each first and second part on each route."""
+    draws = [
+        (host, functools.partial(fleet.load.sound, first, second, route))
+        for host in fleet.hosts
+        for first in FIRST_PARTS
+        for second in SECOND_PARTS
+        for route in ROUTES
+    ]
+    await assert_served_soon(fleet, draws)
+
+
+async def assert_chats_are_served(fleet):
+    """Each host soon serves prompts of each chat."""
+    draws = [
+        (host, functools.partial(fleet.load.sound_of_chat, chat))
+        for host in fleet.hosts
+        for chat in list(fleet.load.chats)
+    ]
+    await assert_served_soon(fleet, draws)
+
+
+async def assert_served_soon(fleet, draws):
+    """Hosts soon serve a prompt of each function that they are given with."""
     end_s = fleet.now_s + SERVED_AGAIN_S
-    for host in fleet.hosts:
-        for route in ROUTES:
-            for first in FIRST_PARTS:
-                for second in SECOND_PARTS:
-                    while True:
-                        prompt = fleet.load.sound(first, second, route)
-                        sending = await fleet.send(prompt, host)
-                        if sending.began and sending.complete:
-                            break
-                        assert fleet.now_s < end_s, sending
-                        await asyncio.sleep(0.2)
+
+    async def send_until_served(host, draw):
+        while True:
+            sending = await fleet.send(draw(), host)
+            if sending.began and sending.complete:
+                return
+            assert fleet.now_s < end_s, sending
+            await asyncio.sleep(0.2)
+
+    async with asyncio.TaskGroup() as group:
+        for host, draw in draws:
+            group.create_task(send_until_served(host, draw))
 
 
 async def judge(episode, *, disturb=None):
@@ -225,13 +263,13 @@
     assert_sound_prompts_get_responses(fleet)
     assert_no_more_crashing_requests(episode)
     assert_sound_prompts_begin(episode)
-    await assert_every_part_is_served(fleet)
+    await assert_shared_parts_are_served(fleet)
 
 
 def run_episode(
     monkeypatch, *, seed, disturb=None, lasts_s=EPISODE_S, prefix=(), **fields
 ):
-    """Judge an episode with one deadly part, and return the fleet.
+    """Judge an episode with one deadly part, and return it.
 
     :param prefix: first and second part of all deadly prompts; empty for any.
     :param fields: fields of the fleet.
@@ -246,7 +284,7 @@
                 lasts_s=lasts_s,
             )
             await judge(episode, disturb=disturb)
-            return fleet
+            return episode
 
     return run_virtual(play(), io_wait_s=IO_WAIT_S)
 
@@ -255,7 +293,7 @@
     """Regression test: each prompt with a part that crashes engines was run, so that
     most engines were down for as long as such prompts came.
     """
-    run_episode(monkeypatch, seed=1, lasts_s=30.0)
+    run_episode(monkeypatch, seed=1, lasts_s=25.0)
 
 
 def test_a_part_is_told_from_the_parts_that_always_come_with_it(monkeypatch):
@@ -267,7 +305,7 @@
 
 def test_prompts_that_crash_engines_after_a_separate_prefill_stop(monkeypatch):
     """Pattern: the engine that prefills survives, the one that decodes crashes."""
-    fleet = run_episode(monkeypatch, seed=5, prefill_engines=2)
+    fleet = run_episode(monkeypatch, seed=19, prefill_engines=2).fleet
     assert any(
         arrival.from_handle and fleet.deadly_parts.intersection(arrival.parts)
         for arrival in fleet.arrivals
@@ -292,7 +330,8 @@
         await episode.wait_after_fifth_crash(6.0)
         await episode.fleet.start_host(2)
 
-    run_episode(monkeypatch, seed=5, host_count=2, disturb=start_host)
+    episode = run_episode(monkeypatch, seed=5, host_count=2, disturb=start_host)
+    assert_host_knows_deadly_part(episode, "edge-3", since_s=0.0)
 
 
 def test_a_host_that_was_cut_off_needs_no_further_crashes(monkeypatch):
@@ -305,7 +344,9 @@
         fleet.cut_off_ips.clear()
         episode.in_touch_since_s["edge-3"] = fleet.now_s
 
-    run_episode(monkeypatch, seed=6, disturb=cut_off, lasts_s=18.0)
+    episode = run_episode(monkeypatch, seed=6, disturb=cut_off, lasts_s=18.0)
+    stable_s = episode.in_touch_since_s["edge-3"] + STABLE_S
+    assert_host_knows_deadly_part(episode, "edge-3", since_s=stable_s)
 
 
 def test_crashes_without_a_deadly_prompt_hide_no_deadly_part(monkeypatch):
@@ -337,7 +378,8 @@
             await episode.play(disturb=kill_engines)
             assert_refusals_are_true(fleet)
             assert_sound_prompts_get_responses(fleet)
-            await assert_every_part_is_served(fleet)
+            await assert_shared_parts_are_served(fleet)
+            await assert_chats_are_served(fleet)
 
     run_virtual(play(), io_wait_s=IO_WAIT_S)
 
@@ -358,7 +400,7 @@
             assert_refusals_are_true(fleet)
             assert_sound_prompts_get_responses(fleet)
             assert_sound_prompts_begin(episode)
-            await assert_every_part_is_served(fleet)
+            await assert_shared_parts_are_served(fleet)
             assert fleet.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
 
     run_virtual(play(), io_wait_s=IO_WAIT_S)
