Go on with an engine that was silent if no other one takes its place

Callers saw streams cut although their engine was sound: an engine silent for twice the target gap (or for two seconds before its first event) was given up at once, and its connection closed. When the next engine rejected the request or broke off, or the retry budget was used up, the stream ended there. Versions of the configuration with fewer attempts or a shorter target gap make it more frequent. The attempt at a silent engine now stays open until another engine has sent an event; if none does, the request waits for the silent ones. A play of requests on kept connections beside quick changes of the configuration comes with it (tests/host/change_play.py). The four tests in test_relay.py failed before (cut after the first event, or 502) and pass.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -7,6 +7,7 @@
 from lacewinglug.host.budget import RetryBudget
 from lacewinglug.host.distance import Geography
 from lacewinglug.host.engines import EngineTracker, EngineWork
+from lacewinglug.host.events import EventSplitter
 from lacewinglug.host.fleet import FleetView
 from lacewinglug.host.life import RequestLifecycle
 from lacewinglug.host.model import (
@@ -215,7 +216,8 @@
 class Attempt:
     """One attempt to run a request at a runner.
 
-    The connection goes back to the pool only after a complete response.
+    The connection goes back to the pool only after a complete response. Reading of the
+    response can go on after a timeout.
 
     :param state: state of the host.
     :param context: the request.
@@ -233,6 +235,9 @@
         self._pool: ConnectionPool = state.upstreams.pool(entry, context.service)
         self._connection: ClientConnection | None = None
         self._stale_responses = 0
+        self._head: ResponseHead | None = None
+        self.splitter = EventSplitter()
+        self.progressed = False
 
     async def connect(self) -> None:
         """Acquire a connection to the runner.
@@ -276,6 +281,8 @@
         :raises UpstreamError: the connection failed, or the response belongs to
             another request.
         """
+        if self._head is not None:
+            return self._head
         assert self._connection is not None
         while True:
             head = await self._connection.read_head()
@@ -284,9 +291,15 @@
             if metadata.load is not None:
                 self.health.record_load(metadata.load, now_s=self._state.now_s())
             if metadata.request_id == self._context.metadata.request_id:
+                self._head = head
                 return head
             await self._discard_stale_response()
 
+    async def wait_for_input(self) -> None:
+        """Wait until more of the response has arrived, or the connection has ended."""
+        assert self._connection is not None
+        await self._connection.wait_for_input()
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, None at its regular end."""
         assert self._connection is not None
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import (
@@ -11,7 +11,7 @@
     REJECTED_RETRY_AFTER_S,
 )
 from lacewinglug.host.context import Attempt, HostState, RequestContext
-from lacewinglug.host.events import Event, EventSplitter, EventTooLongError
+from lacewinglug.host.events import Event, EventTooLongError
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.plans import (
     ColocatedPlan,
@@ -59,6 +59,8 @@
     :param priority: scheduling priority of the prompt at the engines.
     :param backlog_number: number of the prompt in the backlog of the engine that runs
         both prefill and decode, None if it is not queued there.
+    :param may_fail_over: whether a silent engine is given up for another one.
+    :param silent: attempts whose engines fell silent, until another one goes on.
     """
 
     last_event_id: int | None = None
@@ -68,6 +70,27 @@
     separate_prefill_failed: bool = False
     priority: int = 5
     backlog_number: int | None = None
+    may_fail_over: bool = True
+    silent: list["_SilentAttempt"] = field(default_factory=list)
+
+    def close_silent(self) -> None:
+        """Close the attempts whose engines fell silent."""
+        while self.silent:
+            self.silent.pop().attempt.close()
+
+
+@dataclass(kw_only=True)
+class _SilentAttempt:
+    """An attempt whose engine fell silent; it may still go on.
+
+    :param attempt: the attempt, still open.
+    :param plan: its plan.
+    :param backlog_number: number of the prompt in the backlog of its engine.
+    """
+
+    attempt: Attempt
+    plan: PromptPlan
+    backlog_number: int | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,9 +103,11 @@
     """An attempt failed; the state of the request decides what happens next.
 
     :param reason: cause, for the log line of the request.
+    :param silent: whether the engine fell silent and may still go on.
     """
 
     reason: str
+    silent: bool = False
 
 
 @dataclass(kw_only=True)
@@ -107,12 +132,22 @@
             ends the request; status 502 after a part of the stream was relayed.
         """
         progress = _StreamProgress(last_event_id=context.metadata.last_event)
+        try:
+            return await self._relay_attempts(context, progress, exchange)
+        finally:
+            progress.close_silent()
+
+    async def _relay_attempts(
+        self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
+    ) -> Response | Refusal | None:
         while True:
             placement = self.placer.place(
                 context, allow_disaggregated=not progress.separate_prefill_failed
             )
             if placement is None:
-                return self._final_failure(context, progress, RefusalReason.NO_RUNNER)
+                return await self._finish_without_retry(
+                    context, progress, exchange, RefusalReason.NO_RUNNER
+                )
             plan, progress.priority = placement.plan, placement.priority
             overrun_s = self._deadline_overrun_s(context, plan)
             if overrun_s > 0 and context.lifecycle.not_executed:
@@ -123,21 +158,64 @@
                     RefusalReason.NO_TIME, retry_after_s=retry_after_s
                 )
             result = await self._attempt_plan(context, progress, plan, exchange)
-            now_s = self.state.now_s()
+            self._trace_result(context, progress, result)
             match result:
                 case _Completed():
-                    context.trace.add_step(
-                        "finished",
-                        now_s=now_s,
-                        events=progress.last_event_id,
-                    )
                     return None
                 case Response():
                     return result
-                case _AttemptFailed(reason=reason):
-                    context.trace.add_step("failed", now_s=now_s, reason=reason)
             if not self._may_retry(context, progress):
-                return self._final_failure(context, progress, RefusalReason.REJECTED)
+                return await self._finish_without_retry(
+                    context, progress, exchange, RefusalReason.REJECTED
+                )
+
+    async def _finish_without_retry(
+        self,
+        context: RequestContext,
+        progress: _StreamProgress,
+        exchange: Exchange,
+        reason: RefusalReason,
+    ) -> Response | Refusal | None:
+        """Finish a request that is not sent again.
+
+        Engines that fell silent may still go on, and are waited for.
+        """
+        progress.may_fail_over = False
+        while progress.silent:
+            silent = await _wait_for_any(progress.silent)
+            progress.silent.remove(silent)
+            progress.backlog_number = silent.backlog_number
+            context.lifecycle.apply("wait")
+            context.trace.add_step(
+                "waited",
+                now_s=self.state.now_s(),
+                runner=silent.attempt.entry.instance,
+            )
+            result = await self._relay_attempt(
+                context, progress, silent.plan, exchange, silent.attempt
+            )
+            self._trace_result(context, progress, result)
+            match result:
+                case _Completed():
+                    return None
+                case Response():
+                    return result
+        return self._final_failure(context, progress, reason)
+
+    def _trace_result(
+        self,
+        context: RequestContext,
+        progress: _StreamProgress,
+        result: _Completed | _AttemptFailed | Response,
+    ) -> None:
+        now_s = self.state.now_s()
+        match result:
+            case _Completed():
+                context.trace.add_step(
+                    "finished", now_s=now_s, events=progress.last_event_id
+                )
+            case _AttemptFailed(reason=reason):
+                context.trace.add_step("failed", now_s=now_s, reason=reason)
 
     def _deadline_overrun_s(self, context: RequestContext, plan: PromptPlan) -> float:
         """Return by how much the expected time to the first event is too long, in s.
@@ -211,7 +289,11 @@
             )
         finally:
             if not isinstance(result, _Completed):
-                self.prefill_client.free_handle(context, plan.prefill.engine, handle)
+                # An engine that is only silent may still be fetching the KV cache.
+                if not (isinstance(result, _AttemptFailed) and result.silent):
+                    self.prefill_client.free_handle(
+                        context, plan.prefill.engine, handle
+                    )
                 progress.separate_prefill_failed = True
         return result
 
@@ -251,18 +333,41 @@
             return _AttemptFailed(reason=error.reason)
         context.attempt_count += 1
         context.lifecycle.apply("send")
+        return await self._relay_attempt(context, progress, plan, exchange, attempt)
+
+    async def _relay_attempt(
+        self,
+        context: RequestContext,
+        progress: _StreamProgress,
+        plan: PromptPlan,
+        exchange: Exchange,
+        attempt: Attempt,
+    ) -> _Completed | _AttemptFailed | Response:
+        """Relay the response to an attempt, which stays open if its engine is silent.
+
+        Its silence may be short, and the attempts that follow may fail.
+        """
+        silent = False
         try:
             return await self._relay_response(
                 context, progress, plan, exchange, attempt
             )
         except (UpstreamError, TimeoutError, EventTooLongError) as error:
+            silent = isinstance(error, TimeoutError)
             context.lifecycle.apply("lose")
-            attempt.health.record_incomplete(
-                silent=isinstance(error, TimeoutError), now_s=self.state.now_s()
-            )
-            return _AttemptFailed(reason=str(error) or "silent")
+            attempt.health.record_incomplete(silent=silent, now_s=self.state.now_s())
+            return _AttemptFailed(reason=str(error) or "silent", silent=silent)
         finally:
-            attempt.close()
+            if silent:
+                progress.silent.append(
+                    _SilentAttempt(
+                        attempt=attempt,
+                        plan=plan,
+                        backlog_number=progress.backlog_number,
+                    )
+                )
+            else:
+                attempt.close()
 
     async def _relay_response(
         self,
@@ -279,7 +384,7 @@
         :raises TimeoutError: the first or the next event is overdue.
         :raises EventTooLongError: an event exceeds the size limit.
         """
-        first_event_timeout_s = self._first_event_timeout_s(context, plan)
+        first_event_timeout_s = self._first_event_timeout_s(context, progress, plan)
         async with asyncio.timeout(first_event_timeout_s):
             head = await attempt.read_head()
         facts = decode_response_headers(head.headers)
@@ -290,10 +395,9 @@
             raise UpstreamError("response is unsigned or was re-encoded", sent=True)
         if not progress.head_sent:
             context.lifecycle.apply("answer")
-        splitter = EventSplitter()
+        splitter = attempt.splitter
         loop = asyncio.get_running_loop()
         next_event_by_s = _add_timeout(loop.time(), first_event_timeout_s)
-        first = True
         while True:
             async with asyncio.timeout_at(next_event_by_s):
                 chunk = await attempt.read_chunk()
@@ -307,12 +411,12 @@
             progresses = progress.last_event_id is None or any(
                 event.event_id is not None for event in events
             )
-            if first and progresses:
+            if progresses and not attempt.progressed:
                 self._record_first_event(context, progress, plan, attempt)
-                first = False
+                attempt.progressed = True
             await self._send_events(context, progress, exchange, head.headers, events)
             if progresses:
-                gap_timeout_s = self._gap_timeout_s(context)
+                gap_timeout_s = self._gap_timeout_s(context, progress)
                 next_event_by_s = _add_timeout(loop.time(), gap_timeout_s)
         attempt.release(head)
         attempt.health.record_result(failed=False, now_s=self.state.now_s())
@@ -332,6 +436,7 @@
         events: Sequence[Event],
     ) -> None:
         """Write events to the client, after the response head for the first ones."""
+        progress.close_silent()
         if not progress.head_sent:
             await exchange.start_response(_OK, encode_response_headers(headers))
             progress.head_sent = True
@@ -404,26 +509,31 @@
         )
 
     def _first_event_timeout_s(
-        self, context: RequestContext, plan: PromptPlan
+        self, context: RequestContext, progress: _StreamProgress, plan: PromptPlan
     ) -> float | None:
         """Return the timeout of the first event, None if no retry is possible."""
-        if not self._may_fail_over(context):
+        if not self._may_fail_over(context, progress):
             return None
         return max(
             MIN_FIRST_EVENT_TIMEOUT_S, plan.expected_ttft_s * FIRST_EVENT_TIMEOUT_FACTOR
         )
 
-    def _gap_timeout_s(self, context: RequestContext) -> float | None:
+    def _gap_timeout_s(
+        self, context: RequestContext, progress: _StreamProgress
+    ) -> float | None:
         """Return the timeout of the next event, None if no retry is possible."""
-        if not self._may_fail_over(context):
+        if not self._may_fail_over(context, progress):
             return None
         return (
             context.route.target_gap_s or _DEFAULT_TARGET_GAP_S
         ) * GAP_TIMEOUT_FACTOR
 
-    def _may_fail_over(self, context: RequestContext) -> bool:
+    def _may_fail_over(
+        self, context: RequestContext, progress: _StreamProgress
+    ) -> bool:
         return (
-            context.lifecycle.idempotent
+            progress.may_fail_over
+            and context.lifecycle.idempotent
             and context.attempt_count < context.route.max_attempts
         )
 
@@ -455,6 +565,19 @@
         return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
 
 
+async def _wait_for_any(silent: Sequence[_SilentAttempt]) -> _SilentAttempt:
+    """Wait until the engine of an attempt sends again, or its connection ends."""
+    waits = {
+        asyncio.ensure_future(item.attempt.wait_for_input()): item for item in silent
+    }
+    try:
+        done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+    return waits[done.pop()]
+
+
 def _add_timeout(now_s: float, timeout_s: float | None) -> float | None:
     return None if timeout_s is None else now_s + timeout_s
 
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -159,6 +159,10 @@
                 raise UpstreamError("response body is too long", sent=True)
         return Response(status=head.status, headers=head.headers, body=bytes(body))
 
+    async def wait_for_input(self) -> None:
+        """Wait until more of the response has arrived, or the connection has ended."""
+        await self._input_event.wait()
+
     def finish_request(self, *, now_s: float) -> bool:
         """Finish a request after its complete response.
 
--- /dev/null
+++ b/tests/host/change_play.py
@@ -0,0 +1,300 @@
+"""Plays requests on kept connections while configurations come in quick succession.
+
+Each request that was wholly sent has to get a complete response, unless a runner that
+had the request broke off. Runners fall silent for a second and go on, answer without a
+length or chunks, and reject requests. More seeds than the tests run, by hand:
+
+    python -m tests.host.change_play --first 1 --seeds 50
+"""
+
+import argparse
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lacewinglug.wire.messages import first_header
+from tests.host.hosting import running_host
+from tests.platform.scene import (
+    ENGINE,
+    LIMITS,
+    HostTestbed,
+    connect,
+    encode_request,
+    make_configuration,
+    make_route,
+    read_response,
+)
+from tests.platform.standin import FakeRunner
+
+PLAY_S = 5.0
+"""Time for which requests are sent."""
+CLIENTS = 40
+"""Connections, each with one request at a time."""
+CHANGE_INTERVAL_S = (0.02, 0.4)
+"""Shortest and longest time between two versions of the configuration."""
+SILENCE_S = (0.7, 1.3)
+"""Shortest and longest time for which a sound runner is silent."""
+REUSE_FRACTION = 0.8
+"""Fraction of the idle limit in force for which clients reuse a connection."""
+EVENTS = 5
+STREAM = b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+PATHS = ("/status/", "/unlock/1", "/ask/1", "/notes/1")
+WAYS = {
+    "serve": 36,
+    "silent": 12,
+    "silent_later": 20,
+    "unframed": 10,
+    "unframed_silent": 4,
+    "reject": 14,
+    "break": 4,
+}
+"""Ways in which a runner handles a request, with their weights."""
+
+
+class RestlessRunner(FakeRunner):
+    """Runner that handles each request in a random way.
+
+    :param rng: source of randomness.
+    :param broken: ids of the requests that a runner broke off.
+    """
+
+    def __init__(self, *args, rng, broken, **fields):
+        super().__init__(*args, event_count=EVENTS, **fields)
+        self.rng = rng
+        self.broken = broken
+
+    async def serve(self, request, exchange):
+        way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
+        silence_s = self.rng.uniform(*SILENCE_S)
+        if way == "reject":
+            await exchange.respond(self.make_response(request, 503, rejected=True))
+            return
+        if way == "silent":
+            await asyncio.sleep(silence_s)
+        if way == "break":
+            self.broken.add(first_header(request.headers, b"x-lacewinglug-request-id"))
+        pieces = [b"do", b"ne"] if self.stage is None else self._events(request)
+        unframed = way.startswith("unframed")
+        if unframed:
+            write = exchange._transport.write
+            write(b"HTTP/1.1 200 OK\r\n")
+            for name, value in self.response_headers(request):
+                write(name + b": " + value + b"\r\n")
+            write(b"\r\n")
+        else:
+            await exchange.start_response(200, self.response_headers(request))
+        for number, piece in enumerate(pieces):
+            if number == 1 and way in ("silent_later", "unframed_silent"):
+                await asyncio.sleep(silence_s)
+            if number == 1 and way == "break":
+                exchange.abort()
+                return
+            if unframed:
+                write(piece)
+            else:
+                await exchange.write(piece)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+        if unframed:
+            exchange.close()
+        else:
+            await exchange.finish()
+
+    def _events(self, request):
+        last = int(first_header(request.headers, b"last-event-id") or 0)
+        return [
+            b"id: %d\ndata: w%d\n\n" % (n, n)
+            for n in range(last + 1, self.event_count + 1)
+        ]
+
+
+@dataclass(kw_only=True)
+class ChangePlay:
+    """One play.
+
+    :param seed: seed of all random choices; the order of events still varies.
+    :param responses: number of complete responses by path and status.
+    :param lost: requests without a complete response, as text.
+    """
+
+    seed: int
+    responses: Counter = field(default_factory=Counter)
+    lost: list[str] = field(default_factory=list)
+    unread: int = 0
+    versions: int = 1
+    _limits: dict = field(default_factory=lambda: LIMITS)
+    _broken: set = field(default_factory=set)
+
+    async def run(self):
+        """Play once."""
+        rng = random.Random(self.seed)
+        self._rng = rng
+        fields = {"rng": rng, "broken": self._broken}
+        runners = [
+            RestlessRunner(f"{service}-{n}", service, stage=stage, **fields)
+            for service, stage, count in (
+                ("app", None, 3),
+                ("spare", None, 2),
+                ("llm", "prefill", 2),
+                ("llm", "decode", 3),
+            )
+            for n in (f"{stage}-{number}" for number in range(count))
+        ]
+        scene = await HostTestbed().open(
+            *runners, configuration=self._make_configuration(1)
+        )
+        try:
+            async with running_host(scene.settings) as process:
+                await scene.wait_until_ready()
+                self._outcomes = _watch_outcomes(process)
+                await self._play(scene)
+                self.metrics = process._metrics.render().decode()
+        finally:
+            scene.close()
+
+    async def _play(self, scene):
+        end_s = asyncio.get_running_loop().time() + PLAY_S
+        changes = asyncio.create_task(self._change(scene))
+        await asyncio.gather(*(self._send(scene, end_s) for _ in range(CLIENTS)))
+        changes.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await changes
+
+    async def _change(self, scene):
+        """Publish versions of the configuration one after another."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(*CHANGE_INTERVAL_S))
+            self.versions += 1
+            version = self._make_configuration(self.versions)
+            self._limits = version["Limits"]
+            await scene.store.put("keyed.op", "config", version)
+
+    def _make_configuration(self, version):
+        rng = self._rng
+        routes = [
+            route
+            for route in (
+                self._make_route("status", "safe", ["app", "spare"]),
+                self._make_route("unlock", "unsafe", ["app", "spare"], MaxAttempts=1),
+                self._make_route("ask", "streaming", ["llm"], Resumable=True),
+                self._make_route("notes", "streaming", ["llm"], MaxAttempts=1),
+            )
+            if rng.random() < 0.97
+        ]
+        found = make_configuration(version, routes or None)
+        found["Services"].append({"Name": "spare", "MaxConnections": 100})
+        for service in found["Services"]:
+            if service["Name"] == "llm" and rng.random() < 0.1:
+                del service["Engine"]
+            elif service["Name"] == "spare" and rng.random() < 0.1:
+                service["Engine"] = ENGINE
+        if rng.random() < 0.1:
+            found["Services"].pop(rng.randrange(3))
+        found["Limits"] = LIMITS | {"IdleTimeoutMs": rng.choice([700, 2000, 15000])}
+        return found
+
+    def _make_route(self, name, kind, services, **fields):
+        rng = self._rng
+        if rng.random() < 0.05:
+            services = ["app", "spare", "llm"]
+        if rng.random() < 0.05:
+            kind = rng.choice(["safe", "unsafe", "streaming"])
+        route = make_route(
+            name,
+            kind,
+            rng.choice(services),
+            TimeoutMs=rng.choice([4000, 6000, 9000]),
+            TargetLatencyMs=rng.choice([300, 1000]),
+            TargetGapMs=rng.choice([100, 400, 1000]),
+        )
+        route |= {"MaxAttempts": rng.choice([1, 2, 2, 3])} | fields
+        if rng.random() < 0.3:
+            route["TrafficSplit"] = [
+                {"Service": service, "Weight": rng.choice([0, 0, 10, 90])}
+                for service in services
+            ]
+        return route
+
+    async def _send(self, scene, end_s):
+        """Send one request after another on a connection that is kept."""
+        rng, loop = self._rng, asyncio.get_running_loop()
+        reader = writer = None
+        while loop.time() < end_s:
+            pause_s = rng.choice([0.0, 0.0, 0.05, rng.uniform(0.0, 1.2)])
+            await asyncio.sleep(pause_s)
+            reusable_s = REUSE_FRACTION * self._limits["IdleTimeoutMs"] / 1000
+            if writer is None or pause_s > reusable_s or reader.at_eof():
+                if writer is not None:
+                    writer.close()
+                reader, writer = await connect(scene.listen_address("Frontend"))
+            path = rng.choice(PATHS)
+            method, body = ("GET", b"") if path == "/status/" else ("POST", b"hi")
+            request_id = f"{rng.getrandbits(64):016x}"
+            version, sent_s = self.versions, loop.time()
+            data = encode_request(
+                path,
+                method,
+                body,
+                {
+                    "X-Lacewinglug-Request-Id": request_id,
+                    "X-Lacewinglug-Deadline-Ms": "9000",
+                },
+            )
+            try:
+                writer.write(data)
+                response = await read_response(reader)
+            except (OSError, asyncio.IncompleteReadError):
+                response = None
+            took = f"{loop.time() - sent_s:.2f} s, version {version}"
+            if response is not None and response.complete:
+                self.responses[f"{path} {response.status}"] += 1
+                if response.headers.get("connection") == "close":
+                    writer.close()
+                    writer = None
+                continue
+            writer.close()
+            writer = None
+            if request_id.encode() in self._broken:
+                continue
+            if request_id not in self._outcomes and response is None:
+                self.unread += 1
+                continue
+            self.lost.append(
+                f"{path} {request_id} {self._outcomes.get(request_id)} after {took}"
+            )
+
+
+def _watch_outcomes(process):
+    """Return a dict that is filled with the outcome of each request, by its id."""
+    outcomes = {}
+    record = process._reporter.record_completion
+
+    def watch(trace, *, outcome, status, now_s):
+        outcomes[trace.request_id] = (outcome, status, trace.steps)
+        record(trace, outcome=outcome, status=status, now_s=now_s)
+
+    process._reporter.record_completion = watch
+    return outcomes
+
+
+def main():
+    """Play a number of seeds and print what each found."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=10)
+    given = parser.parse_args()
+    for seed in range(given.first, given.first + given.seeds):
+        play = ChangePlay(seed=seed)
+        asyncio.run(play.run())
+        print(
+            f"seed {seed}: {play.versions} versions, "
+            f"{sum(play.responses.values())} responses, {play.unread} unread, "
+            f"{len(play.lost)} lost"
+        )
+        for line in play.lost:
+            print(f"  {line}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR
 from tests.host.hosting import running_host
 from tests.platform.scene import (
@@ -196,6 +197,54 @@
             await asyncio.sleep(0.01)
 
 
+GAP_TIMEOUT_S = GAP_TIMEOUT_FACTOR * TARGET_GAP_S
+
+
+# Regression tests: a sound engine that was silent for a second was given up, and the
+# stream was cut (or the request refused) although the engine went on.
+@pytest.mark.parametrize(
+    ("mode", "silence_s"),
+    [("pause", GAP_TIMEOUT_S), ("pause_first", MIN_FIRST_EVENT_TIMEOUT_S)],
+)
+async def test_a_silent_engine_is_waited_for_if_the_next_one_rejects(mode, silence_s):
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = mode, silence_s + 0.4
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    other.mode = "reject"
+    configuration = make_configuration()
+    configuration["Routes"][2]["TimeoutMs"] = 8000
+    async with running_scene(
+        prefiller, silent, other, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="8000")
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(silent.runs) == 1
+        assert silent.cancelled_count == 0
+
+
+async def test_a_silent_engine_is_waited_for_if_the_retry_budget_is_used_up():
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.4
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    async with running_scene(prefiller, silent, other) as scene:
+        budget = scene.process.state.retry_budget("llm")
+        budget.try_spend = lambda **_fields: False
+        answer = await scene.send_request("/ask/1")
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert other.runs == []
+
+
+async def test_a_silent_engine_is_waited_for_if_the_next_one_breaks_off():
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.4
+    broken = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    broken.mode = "cut"
+    async with running_scene(prefiller, silent, broken) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(broken.runs) == 1
+
+
 @pytest.mark.parametrize("mode", ["trickle", "noise"])
 async def test_a_stream_that_sends_only_meaningless_bytes_resumes_elsewhere(mode):
     """Such bytes used to restart the timeout of the next event each time."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -146,7 +146,9 @@
 
     ``mode`` selects the behaviour of each request: ``serve``; ``reject`` without
     running it; ``fail`` with status 500; ``cut``, a truncated response; ``stall``, a
-    stream without events after the first; ``trickle``, the same with a byte now and
+    stream without events after the first; ``pause``, a stream that is silent for
+    ``pause_s`` after the first event and then goes on; ``pause_first``, the same before
+    the response head; ``trickle``, the same with a byte now and
     then; ``noise``, comments without end after the first event; ``hang``, no response;
     ``stray``, a response to another request; or ``unsigned``, a response without a
     signature.
@@ -163,6 +165,7 @@
         self.stage = stage
         self.event_count = event_count
         self.mode = "serve"
+        self.pause_s = 0.0
         self.runs = []
         self.prefills = []
         self.released_handles = []
@@ -268,6 +271,8 @@
 
     async def stream(self, request, exchange):
         last = int(first_header(request.headers, b"last-event-id") or 0)
+        if self.mode == "pause_first":
+            await asyncio.sleep(self.pause_s)
         await exchange.start_response(200, self.response_headers(request))
         for number in range(last + 1, self.event_count + 1):
             if self.mode == "cut" and number == 2:
@@ -277,6 +282,8 @@
                 return
             if self.mode == "stall" and number == 2:
                 await asyncio.sleep(600)
+            if self.mode == "pause" and number == 2:
+                await asyncio.sleep(self.pause_s)
             if self.mode in ("trickle", "noise") and number == 2:
                 await self._send_noise(exchange)
                 return
