Discard what a rejected client still sends before its connection is closed

The host ends its side first and discards input for two seconds at most. The new test failed before with 'Connection reset by peer'.

--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -18,6 +18,9 @@
 
 MAX_READ_BUFFER_BYTES = 262_144
 """Buffered bytes of pipelined requests above which reading from the socket pauses."""
+DISCARD_TIMEOUT_S = 2.0
+"""Time for which data of a rejected request is discarded before its connection is
+closed, in s; several round trips, in which clients read the response and close."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -156,6 +159,7 @@
         self._end_reason: EndReason | None = None
         self._buffered_bytes = 0
         self._reading_paused = False
+        self._discarding = False
 
     @property
     def has_active_request(self) -> bool:
@@ -172,6 +176,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer data from the client; pause reading above the limit."""
+        if self._discarding:
+            return
         if not self._request_active:
             self._request_active = True
             self._request_started_s = self._loop.time()
@@ -294,6 +300,7 @@
         except RequestRejectedError as error:
             await self._send_rejection(error)
             self._note_end(EndReason.REJECTED)
+            await self._discard_input()
             return False
         if request is None:
             self._note_end(EndReason.IDLE)
@@ -332,6 +339,23 @@
         with contextlib.suppress(h11.LocalProtocolError):
             await self.respond(Response(status=error.status, body=body, close=True))
 
+    async def _discard_input(self) -> None:
+        """Discard for a while what the client still sends after its last response.
+
+        Closing a connection that has unread data resets it, and a client that is still
+        sending would lose the response.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or not transport.can_write_eof():
+            return
+        self._discarding = True
+        transport.write_eof()
+        if self._reading_paused:
+            self._reading_paused = False
+            transport.resume_reading()
+        # The task is cancelled when the client has closed the connection.
+        await asyncio.sleep(DISCARD_TIMEOUT_S)
+
     async def _read_request(self) -> Request | None:
         head = await self._next_event(self._header_timeout_s, timeout_status=408)
         if not isinstance(head, h11.Request):
--- a/tests/wire/memory.py
+++ b/tests/wire/memory.py
@@ -22,6 +22,9 @@
     def is_closing(self):
         return self.closed
 
+    def can_write_eof(self):
+        return False
+
     def pause_reading(self):
         pass
 
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -104,6 +104,30 @@
         assert server.requests == []
 
 
+# Regression test: the connection was closed with unread data, so that it was reset and
+# the client lost the refusal.
+@pytest.mark.parametrize("size", [150_000, 2_000_000])
+async def test_a_client_that_is_still_sending_can_read_its_refusal(size):
+    async with Server(max_body_bytes=100_000) as server:
+        for _ in range(5):
+            reader, writer = await server.open()
+            writer.write(POST.replace(b": 2", b": %d" % size) + b"x" * (size - 2))
+            assert status(await reader.read()) == 413
+            writer.close()
+        assert server.requests == []
+
+
+async def test_a_rejected_client_that_sends_without_end_is_disconnected():
+    async with Server(max_body_bytes=10) as server, asyncio.timeout(30):
+        _, writer = await server.open()
+        writer.write(POST.replace(b": 2", b": 999999999"))
+        while server.ends.empty():
+            writer.write(b"x" * 1000)
+            await asyncio.sleep(0.05)
+        assert server.ends.get_nowait() == (EndReason.REJECTED, None)
+        writer.close()
+
+
 async def test_timeouts_of_slow_headers_and_idle_connections():
     async with Server(header_timeout_s=0.1, idle_timeout_s=0.1) as server:
         assert status(await server.exchange(b"GET /a HT")) == 408
