Wait for a silent runner of a safe call if no other one answers

A safe call whose first runner took longer than three quarters of the target was sent to another one, and the connection to the first was closed. When the other one rejected the call, broke off or failed, callers got a 502 or the failure although the first runner was sound. The attempt now stays open until there is an answer, as for streams. The three cases of the new test failed before (502, 502 and 500 for 200) and pass.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
-from lacewinglug.host.context import Attempt, HostState, RequestContext
+from lacewinglug.host.context import (
+    Attempt,
+    HostState,
+    RequestContext,
+    wait_for_any,
+)
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.plain import choose_plain_runner
 from lacewinglug.platform.headers import (
@@ -51,9 +56,11 @@
     """The request may have run, but no complete response was received.
 
     :param reason: cause of the failure.
+    :param silent: whether the runner may still answer.
     """
 
     reason: str
+    silent: bool = False
 
 
 Outcome = Answered | NotExecuted | Unreached | Lost
@@ -70,13 +77,27 @@
 
     async def relay(self, context: RequestContext) -> Response | Refusal:
         """Return the final response to a plain call."""
+        silent: list[Attempt] = []
+        try:
+            return await self._relay_attempts(context, silent)
+        finally:
+            for attempt in silent:
+                attempt.close()
+
+    async def _relay_attempts(
+        self, context: RequestContext, silent: list[Attempt]
+    ) -> Response | Refusal:
+        """Send the call to one runner after another.
+
+        :param silent: collects the open attempts whose runners did not answer in time.
+        """
         failure: Response | None = None
         unreached = 0
         while True:
             entry = self._choose_runner(context)
             if entry is None:
                 return failure or refuse_as_not_run(RefusalReason.NO_RUNNER)
-            outcome = await self._attempt(context, entry)
+            outcome = await self._attempt(context, entry, silent)
             match outcome:
                 case Unreached():
                     unreached += 1
@@ -98,7 +119,34 @@
                 case Lost():
                     pass
             if not self._may_retry(context):
-                return failure or self._make_refusal(context, RefusalReason.REJECTED)
+                return (
+                    await self._wait_for_silent(context, silent)
+                    or failure
+                    or self._make_refusal(context, RefusalReason.REJECTED)
+                )
+
+    async def _wait_for_silent(
+        self, context: RequestContext, silent: list[Attempt]
+    ) -> Response | None:
+        """Return the response of a runner that was silent, None if there is none.
+
+        The call is not sent again, but these runners may still answer.
+        """
+        while silent:
+            attempt = await wait_for_any(silent)
+            silent.remove(attempt)
+            context.lifecycle.apply("wait")
+            try:
+                outcome = await self._receive(context, attempt, timeout_s=None)
+            finally:
+                attempt.close()
+            self._record_outcome(context, attempt, outcome)
+            match outcome:
+                case Answered(response=response):
+                    if response.status < _MIN_SERVER_ERROR:
+                        return response
+                    context.lifecycle.apply("lose")
+        return None
 
     def _choose_runner(self, context: RequestContext) -> RunnerEntry | None:
         now_s = self.state.now_s()
@@ -121,13 +169,25 @@
         )
         return choice.entry
 
-    async def _attempt(self, context: RequestContext, entry: RunnerEntry) -> Outcome:
+    async def _attempt(
+        self, context: RequestContext, entry: RunnerEntry, silent: list[Attempt]
+    ) -> Outcome:
         context.tried_instances.add(entry.instance)
         attempt = Attempt(state=self.state, context=context, entry=entry)
+        outcome: Outcome | None = None
         try:
             outcome = await self._exchange(context, attempt)
         finally:
-            attempt.close()
+            if isinstance(outcome, Lost) and outcome.silent:
+                silent.append(attempt)
+            else:
+                attempt.close()
+        self._record_outcome(context, attempt, outcome)
+        return outcome
+
+    def _record_outcome(
+        self, context: RequestContext, attempt: Attempt, outcome: Outcome
+    ) -> None:
         now_s = self.state.now_s()
         context.trace.add_step("outcome", now_s=now_s, result=describe_outcome(outcome))
         self.state.metrics.attempts.labels(
@@ -135,7 +195,6 @@
         ).inc()
         if not isinstance(outcome, Unreached):
             attempt.health.record_result(failed=_is_failure(outcome), now_s=now_s)
-        return outcome
 
     async def _exchange(self, context: RequestContext, attempt: Attempt) -> Outcome:
         try:
@@ -147,15 +206,21 @@
             return Unreached()
         context.attempt_count += 1
         context.lifecycle.apply("send")
+        timeout_s = self._attempt_timeout_s(context)
+        return await self._receive(context, attempt, timeout_s=timeout_s)
+
+    async def _receive(
+        self, context: RequestContext, attempt: Attempt, *, timeout_s: float | None
+    ) -> Outcome:
         try:
-            async with asyncio.timeout(self._attempt_timeout_s(context)):
+            async with asyncio.timeout(timeout_s):
                 head = await attempt.read_head()
                 response = await attempt.read_response(
                     head, max_bytes=MAX_RESPONSE_BYTES
                 )
         except TimeoutError:
             context.lifecycle.apply("lose")
-            return Lost(reason="no answer in time")
+            return Lost(reason="no answer in time", silent=True)
         except UpstreamError as error:
             context.lifecycle.apply("lose")
             return Lost(reason=error.reason)
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -1,7 +1,7 @@
 """State shared by all requests of a host, and the context of a single request."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from lacewinglug.host.budget import RetryBudget
@@ -236,6 +236,7 @@
         self._connection: ClientConnection | None = None
         self._stale_responses = 0
         self._head: ResponseHead | None = None
+        self._body = bytearray()
         self.splitter = EventSplitter()
         self.progressed = False
 
@@ -316,13 +317,14 @@
 
         :raises UpstreamError: the body is truncated or exceeds the limit.
         """
-        body = bytearray()
         while (part := await self.read_chunk()) is not None:
-            body += part
-            if len(body) > max_bytes:
+            self._body += part
+            if len(self._body) > max_bytes:
                 raise UpstreamError("response body exceeds the size limit", sent=True)
         self.release(head)
-        return Response(status=head.status, headers=head.headers, body=bytes(body))
+        return Response(
+            status=head.status, headers=head.headers, body=bytes(self._body)
+        )
 
     def release(self, head: ResponseHead) -> None:
         """Return the connection to the pool after a complete response."""
@@ -356,3 +358,16 @@
         )
         if self._stale_responses > MAX_STALE_RESPONSES or not skipped:
             raise UpstreamError("response belongs to another request", sent=True)
+
+
+async def wait_for_any(attempts: Sequence[Attempt]) -> Attempt:
+    """Wait until the runner of an attempt sends again, or its connection ends."""
+    waits = {
+        asyncio.ensure_future(attempt.wait_for_input()): attempt for attempt in attempts
+    }
+    try:
+        done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+    return waits[done.pop()]
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -10,7 +10,12 @@
     MAX_RESPONSE_BYTES,
     REJECTED_RETRY_AFTER_S,
 )
-from lacewinglug.host.context import Attempt, HostState, RequestContext
+from lacewinglug.host.context import (
+    Attempt,
+    HostState,
+    RequestContext,
+    wait_for_any,
+)
 from lacewinglug.host.events import Event, EventTooLongError
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.plans import (
@@ -182,7 +187,8 @@
         """
         progress.may_fail_over = False
         while progress.silent:
-            silent = await _wait_for_any(progress.silent)
+            attempt = await wait_for_any([item.attempt for item in progress.silent])
+            silent = next(item for item in progress.silent if item.attempt is attempt)
             progress.silent.remove(silent)
             progress.backlog_number = silent.backlog_number
             context.lifecycle.apply("wait")
@@ -565,19 +571,6 @@
         return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
 
 
-async def _wait_for_any(silent: Sequence[_SilentAttempt]) -> _SilentAttempt:
-    """Wait until the engine of an attempt sends again, or its connection ends."""
-    waits = {
-        asyncio.ensure_future(item.attempt.wait_for_input()): item for item in silent
-    }
-    try:
-        done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for wait in waits:
-            wait.cancel()
-    return waits[done.pop()]
-
-
 def _add_timeout(now_s: float, timeout_s: float | None) -> float | None:
     return None if timeout_s is None else now_s + timeout_s
 
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -107,6 +107,19 @@
             assert (answer.status, answer.body) == (200, b"done")
 
 
+@pytest.mark.parametrize("mode", ["reject", "cut", "fail"])
+async def test_a_safe_call_waits_for_a_silent_runner_if_no_other_one_answers(mode):
+    """Regression test: the call was refused although its first runner was sound."""
+    silent, other = make_app_runner("app-1"), make_app_runner("app-2")
+    silent.mode, silent.pause_s = "pause", 0.8
+    other.mode = mode
+    async with running_scene(silent, other) as scene:
+        while not silent.runs:
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (200, b"done")
+        assert silent.cancelled_count == 0
+
+
 async def test_a_safe_call_returns_a_runners_error_if_all_attempts_fail():
     bad, worse = make_app_runner("app-1"), make_app_runner("app-2")
     bad.mode = worse.mode = "fail"
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -146,8 +146,8 @@
 
     ``mode`` selects the behaviour of each request: ``serve``; ``reject`` without
     running it; ``fail`` with status 500; ``cut``, a truncated response; ``stall``, a
-    stream without events after the first; ``pause``, a stream that is silent for
-    ``pause_s`` after the first event and then goes on; ``pause_first``, the same before
+    stream without events after the first; ``pause``, an answer, or a stream after its
+    first event, that comes after ``pause_s``; ``pause_first``, the same before
     the response head; ``trickle``, the same with a byte now and
     then; ``noise``, comments without end after the first event; ``hang``, no response;
     ``stray``, a response to another request; or ``unsigned``, a response without a
@@ -253,6 +253,9 @@
                 await asyncio.sleep(600)
             case "fail":
                 await exchange.respond(self.make_response(request, 500))
+            case "pause" if self.stage is None:
+                await asyncio.sleep(self.pause_s)
+                await exchange.respond(self.make_response(request, 200))
             case "cut" if self.stage is None:
                 await exchange.start_response(200, self.response_headers(request))
                 await exchange.write(b"do")
