Finish requests of a host that cannot announce its shutdown

An unexpected error while a host announced that it leaves ended the process with the requests in progress on it. The announcement is now a task like the others. The new test failed before ('ZeroDivisionError: planted', 0 bytes read) and passes.

--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -260,7 +260,9 @@
         started_s = self.state.now_s()
         grace_s = self.settings.shutdown_grace_s
         self.shutting_down = True
-        self._peers.send_heartbeat(to_all_hosts=True)
+        leaving = asyncio.create_task(
+            self._keep_running("leaving", self._announce_leaving)
+        )
         logger.info(
             "host leaves",
             extra={"requests": self._client_listener.registry.active_request_count},
@@ -276,10 +278,14 @@
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
             registry.close_idle()
         unregister.cancel()
+        leaving.cancel()
         for listener in self._internal_listeners:
             listener.stop_accepting()
         logger.info("host stopped", extra={"requests": registry.active_request_count})
 
+    async def _announce_leaving(self) -> None:
+        self._peers.send_heartbeat(to_all_hosts=True)
+
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
--- a/tests/host/test_process.py
+++ b/tests/host/test_process.py
@@ -70,3 +70,25 @@
             await asyncio.sleep(0.02)
         assert asyncio.get_running_loop().time() - first_s > 1.0
         assert (await scene.send_request("/unlock/7")).status == 200
+
+
+async def test_a_host_that_cannot_announce_its_shutdown_finishes_its_requests(
+    monkeypatch,
+):
+    """Regression test: the error ended the process with the requests in progress."""
+    runner = make_app_runner()
+    runner.mode, runner.pause_s = "pause", 1.0
+    send = PeerProtocol.send_heartbeat
+
+    def fail(self, *, to_all_hosts=False):
+        if to_all_hosts:
+            raise ZeroDivisionError("planted")
+        send(self)
+
+    monkeypatch.setattr(PeerProtocol, "send_heartbeat", fail)
+    async with running_scene(runner) as scene:
+        waiting = asyncio.create_task(scene.send_request("/unlock/7"))
+        while not runner.runs:
+            await asyncio.sleep(0.01)
+        scene.process.stop_requested.set()
+        assert (await waiting).status == 200
