Answer internal requests whose handler fails

Calls to the directory, readiness and metrics addresses got no answer when their handler failed, the same cause as for clients' requests. They get a 500 now, and the connection is closed; a response that has begun is still cut. The test that a handler's error closes only its connection expected no answer; it now expects the 500 and checks the rest as before. It failed before with 0 bytes read.

--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -288,11 +288,20 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            logger.exception("aborting a client connection after an internal error")
-            self.abort(EndReason.INTERNAL_ERROR)
+            logger.exception("closing a client connection after an internal error")
+            await self._respond_to_error()
         finally:
             self.close()
 
+    async def _respond_to_error(self) -> None:
+        """End the connection, with a response to the request if none has begun."""
+        self._note_end(EndReason.INTERNAL_ERROR)
+        if self.response_not_started:
+            body = b"internal error; see the log\n"
+            await self.respond(Response(status=500, body=body, close=True))
+        else:
+            self.abort()
+
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another one may follow."""
         try:
