--- a/tests/host/change_play.py
+++ b/tests/host/change_play.py
@@ -2,7 +2,8 @@
 
 Each request that was wholly sent has to get a complete response, unless a runner that
 had the request broke off. Runners fall silent for a second and go on, answer without a
-length or chunks, and reject requests. More seeds than the tests run, by hand:
+length or chunks, reject requests, leave and come back. To play more seeds than the
+tests do, by hand:
 
     python -m tests.host.change_play --first 1 --seeds 50
 """
@@ -101,6 +102,17 @@
         else:
             await exchange.finish()
 
+    async def prefill(self, request, exchange):
+        way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
+        if way == "reject":
+            await exchange.respond(self.make_response(request, 503, rejected=True))
+        elif way == "break":
+            exchange.abort()
+        else:
+            if "silent" in way:
+                await asyncio.sleep(2 * self.rng.uniform(*SILENCE_S))
+            await super().prefill(request, exchange)
+
     def _events(self, request):
         last = int(first_header(request.headers, b"last-event-id") or 0)
         return [
@@ -167,7 +179,8 @@
             await changes
 
     async def _change(self, scene):
-        """Publish versions of the configuration one after another."""
+        """Publish versions of the configuration, and let a runner leave with each."""
+        away = None
         while True:
             await asyncio.sleep(self._rng.uniform(*CHANGE_INTERVAL_S))
             self.versions += 1
@@ -176,6 +189,11 @@
             while self._process.state.routes.version < self.versions:
                 await asyncio.sleep(0.005)
             self._limits = version["Limits"]
+            runner = self._rng.choice(scene.runners)
+            await scene.store.drop("keyed.servers", runner.instance)
+            if away is not None:
+                await scene.store.put("keyed.servers", away.instance, away.entry())
+            away = runner
 
     def _make_configuration(self, version):
         rng = self._rng
@@ -299,7 +317,12 @@
             f"{sum(play.responses.values())} responses, {play.unread} unread, "
             f"{len(play.lost)} lost"
         )
-        for line in play.lost:
+        errors = [
+            line
+            for line in play.metrics.splitlines()
+            if line.startswith("lacewinglug_internal_errors_total{")
+        ]
+        for line in play.lost + errors:
             print(f"  {line}")
 
 
--- a/tests/host/test_change_play.py
+++ b/tests/host/test_change_play.py
@@ -16,3 +16,6 @@
     assert play.versions > 5
     assert sum(play.responses.values()) > 100
     assert "internal_errors_total{" not in play.metrics
+    # No client left, and the only other reason is a runner that broke off.
+    assert 'unanswered_requests_total{reason="client' not in play.metrics
+    assert 'outcome="client_left"' not in play.metrics
