--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -1,13 +1,14 @@
 """State shared by all requests of a host, and the context of a single request."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from lacewinglug.host.budget import RetryBudget
 from lacewinglug.host.distance import Geography
 from lacewinglug.host.engines import EngineTracker, EngineWork
+from lacewinglug.host.events import EventSplitter
 from lacewinglug.host.fleet import FleetView
 from lacewinglug.host.life import RequestLifecycle
 from lacewinglug.host.model import (
@@ -243,7 +244,8 @@
 class Attempt:
     """One attempt to run a request at a runner.
 
-    The connection goes back to the pool only after a complete response.
+    The connection goes back to the pool only after a complete response. Reading of the
+    response can go on after a timeout.
 
     :param state: state of the host.
     :param context: the request.
@@ -262,6 +264,9 @@
         self._pool: ConnectionPool = state.upstreams.pool(entry, context.service)
         self._connection: ClientConnection | None = None
         self._stale_responses = 0
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self.splitter = EventSplitter()
         self.first_event_s: float | None = None
 
     async def connect(self) -> None:
@@ -308,6 +313,8 @@
         :raises UpstreamError: the connection failed, or the response belongs to
             another request.
         """
+        if self._head is not None:
+            return self._head
         assert self._connection is not None
         while True:
             head = await self._connection.read_head()
@@ -316,9 +323,15 @@
             if metadata.load is not None:
                 self.health.record_load(metadata.load, now_s=self._state.now_s())
             if metadata.request_id == self._context.metadata.request_id:
+                self._head = head
                 return head
             await self._discard_stale_response()
 
+    async def wait_for_input(self) -> None:
+        """Wait until more of the response has arrived, or the connection has ended."""
+        assert self._connection is not None
+        await self._connection.wait_for_input()
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, None at its regular end."""
         assert self._connection is not None
@@ -335,13 +348,14 @@
 
         :raises UpstreamError: the body is truncated or exceeds the limit.
         """
-        body = bytearray()
         while (part := await self.read_chunk()) is not None:
-            body += part
-            if len(body) > max_bytes:
+            self._body += part
+            if len(self._body) > max_bytes:
                 raise UpstreamError("response body exceeds the size limit", sent=True)
         self.release(head)
-        return Response(status=head.status, headers=head.headers, body=bytes(body))
+        return Response(
+            status=head.status, headers=head.headers, body=bytes(self._body)
+        )
 
     def release(self, head: ResponseHead) -> None:
         """Return the connection to the pool after a complete response."""
@@ -375,3 +389,16 @@
         )
         if self._stale_responses > MAX_STALE_RESPONSES or not skipped:
             raise UpstreamError("response belongs to another request", sent=True)
+
+
+async def wait_for_any(attempts: Sequence[Attempt]) -> Attempt:
+    """Wait until the runner of an attempt sends again, or its connection ends."""
+    waits = {
+        asyncio.ensure_future(attempt.wait_for_input()): attempt for attempt in attempts
+    }
+    try:
+        done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+    return waits[done.pop()]
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -18,6 +18,9 @@
 
 MAX_READ_BUFFER_BYTES = 262_144
 """Buffered bytes of pipelined requests above which reading from the socket pauses."""
+DISCARD_TIMEOUT_S = 2.0
+"""Time for which data of a rejected request is discarded before its connection is
+closed, in s; several round trips, in which clients read the response and close."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -96,7 +99,8 @@
     """Open client connections of a listener.
 
     :param handler: called once for each request.
-    :param limits: returns the current limits, which apply to new connections.
+    :param limits: returns the current limits, which apply to a connection from its next
+        request on; a longer idle timeout applies immediately.
     :param close_after_response: whether connections are closed after their next
         response.
     :param on_end: called when a connection has ended, with its last request if that
@@ -148,13 +152,14 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._loop = asyncio.get_running_loop()
-        self._request_started_s = 0.0
+        self._request_started_s = self._loop.time()
         self._request_active = False
         self._unanswered: Request | None = None
         self._method = b""
         self._end_reason: EndReason | None = None
         self._buffered_bytes = 0
         self._reading_paused = False
+        self._discarding = False
 
     @property
     def has_active_request(self) -> bool:
@@ -171,6 +176,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer data from the client; pause reading above the limit."""
+        if self._discarding:
+            return
         if not self._request_active:
             self._request_active = True
             self._request_started_s = self._loop.time()
@@ -281,11 +288,20 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            logger.exception("aborting a client connection after an internal error")
-            self.abort(EndReason.INTERNAL_ERROR)
+            logger.exception("closing a client connection after an internal error")
+            await self._respond_to_error()
         finally:
             self.close()
 
+    async def _respond_to_error(self) -> None:
+        """End the connection, with a response to the request if none has begun."""
+        self._note_end(EndReason.INTERNAL_ERROR)
+        if self.response_not_started:
+            body = b"internal error; see the log\n"
+            await self.respond(Response(status=500, body=body, close=True))
+        else:
+            self.abort()
+
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another one may follow."""
         try:
@@ -293,6 +309,7 @@
         except RequestRejectedError as error:
             await self._send_rejection(error)
             self._note_end(EndReason.REJECTED)
+            await self._discard_input()
             return False
         if request is None:
             self._note_end(EndReason.IDLE)
@@ -309,6 +326,7 @@
             return False
         self._h11.start_next_cycle()
         self._method = b""
+        self._limits = self._registry.limits()
         remaining = len(self._h11.trailing_data[0])
         self._request_active = remaining > 0
         self._buffered_bytes = remaining
@@ -330,6 +348,23 @@
         with contextlib.suppress(h11.LocalProtocolError):
             await self.respond(Response(status=error.status, body=body, close=True))
 
+    async def _discard_input(self) -> None:
+        """Discard for a while what the client still sends after its last response.
+
+        Closing a connection that has unread data resets it, and a client that is still
+        sending would lose the response.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or not transport.can_write_eof():
+            return
+        self._discarding = True
+        transport.write_eof()
+        if self._reading_paused:
+            self._reading_paused = False
+            transport.resume_reading()
+        # The task is cancelled when the client has closed the connection.
+        await asyncio.sleep(DISCARD_TIMEOUT_S)
+
     async def _read_request(self) -> Request | None:
         head = await self._next_event(self._header_timeout_s, timeout_status=408)
         if not isinstance(head, h11.Request):
@@ -362,11 +397,14 @@
         )
 
     def _header_timeout_s(self) -> float:
-        limits = self._limits
-        if not self._request_active:
-            return limits.idle_timeout_s
         elapsed_s = self._loop.time() - self._request_started_s
-        return limits.header_timeout_s - elapsed_s
+        if self._request_active:
+            return self._limits.header_timeout_s - elapsed_s
+        # Clients may rely on the limit of before as well as on the current one.
+        idle_timeout_s = max(
+            self._limits.idle_timeout_s, self._registry.limits().idle_timeout_s
+        )
+        return idle_timeout_s - elapsed_s
 
     def _body_timeout_s(self) -> float:
         return self._limits.idle_timeout_s
@@ -398,6 +436,9 @@
                     await self._input_event.wait()
             except TimeoutError:
                 if not was_active and not self._request_active:
+                    if timeout_s() > 0.0:
+                        # The limit was raised in the meantime.
+                        continue
                     return None
                 if was_active:
                     reason = "the request did not arrive in time; send it again"
