Give a silent engine up soon after another one has the request

An attempt at a silent engine stayed open until another engine had sent an event, so for a second or more two engines ran one request, which the platform forbids beyond 400 ms. It is now closed 0.3 s after the request was sent elsewhere; a rejection within that time still leads back to it, as does a request that could not be sent. The new test failed before (closed after 1.01 s) and passes.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -41,6 +41,9 @@
 GAP_TIMEOUT_FACTOR = 2.0
 """Multiple of the route's target gap between events after which a resumable stream
 is resumed on another engine."""
+MAX_OVERLAP_S = 0.3
+"""Time after sending to another engine for which a silent one may go on, in s. Most
+rejections arrive within it; later both engines would run the request."""
 MAX_EXPECTED_TTFT_SHARE = 1.0
 """Share of the remaining time up to which the expected time to the first event is
 accepted; above it the request is refused."""
@@ -78,9 +81,24 @@
     backlog_number: int | None = None
     may_fail_over: bool = True
     silent: list["_SilentAttempt"] = field(default_factory=list)
+    _overlap_timer: asyncio.TimerHandle | None = None
+
+    def limit_overlap(self) -> None:
+        """Close silent attempts soon, since the request was sent to another engine."""
+        self.lift_overlap_limit()
+        if self.silent:
+            loop = asyncio.get_running_loop()
+            self._overlap_timer = loop.call_later(MAX_OVERLAP_S, self.close_silent)
+
+    def lift_overlap_limit(self) -> None:
+        """Keep silent attempts open, since no other engine runs the request."""
+        if self._overlap_timer is not None:
+            self._overlap_timer.cancel()
+            self._overlap_timer = None
 
     def close_silent(self) -> None:
         """Close the attempts whose engines fell silent."""
+        self.lift_overlap_limit()
         while self.silent:
             self.silent.pop().attempt.close()
 
@@ -151,6 +169,7 @@
         self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
     ) -> Response | Refusal | None:
         while True:
+            progress.lift_overlap_limit()
             placement = self.placer.place(
                 context, allow_disaggregated=not progress.separate_prefill_failed
             )
@@ -191,6 +210,7 @@
         Engines that fell silent may still go on, and are waited for.
         """
         progress.may_fail_over = False
+        progress.lift_overlap_limit()
         while progress.silent:
             attempt = await wait_for_any([item.attempt for item in progress.silent])
             silent = next(item for item in progress.silent if item.attempt is attempt)
@@ -344,6 +364,7 @@
             return _AttemptFailed(reason=error.reason)
         context.attempt_count += 1
         context.lifecycle.apply("send")
+        progress.limit_overlap()
         return await self._relay_attempt(context, progress, plan, exchange, attempt)
 
     async def _relay_attempt(
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -258,6 +258,25 @@
         assert len(broken.runs) == 1
 
 
+# Guards against a request that two engines run at the same time.
+async def test_a_silent_engine_is_given_up_soon_after_another_one_has_the_request():
+    prefiller, silent = make_engines()
+    silent.mode = "stall"
+    slow = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    slow.mode, slow.pause_s = "pause_first", 1.0
+    loop = asyncio.get_running_loop()
+    async with running_scene(prefiller, silent, slow) as scene:
+        request = asyncio.create_task(scene.send_request("/ask/1"))
+        while not slow.runs:
+            await asyncio.sleep(0.01)
+        started_s = loop.time()
+        while not silent.cancelled_count:
+            await asyncio.sleep(0.01)
+        assert loop.time() - started_s < 0.4
+        answer = await request
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
 @pytest.mark.parametrize("mode", ["trickle", "noise"])
 async def test_a_stream_that_sends_only_meaningless_bytes_resumes_elsewhere(mode):
     """Such bytes used to restart the timeout of the next event each time."""
