--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -305,6 +305,7 @@
                 batch = self._pending_work[:MAX_WORK_PER_DATAGRAM]
                 del self._pending_work[:MAX_WORK_PER_DATAGRAM]
                 now_s = asyncio.get_running_loop().time()
+                has_room = len(batch) <= MAX_WORK_PER_DATAGRAM // 2
                 self._send_batch(
                     _Datagram(
                         work=[
@@ -314,7 +315,7 @@
                             )
                             for item, queued_at_s in batch
                         ],
-                        proven=self._take_proven(),
+                        proven=self._take_proven() if has_room else [],
                     )
                 )
             while self._pending_suspects or self._pending_proven:
