Keep the age of an idle connection that the crash check finds

The check marked a connection from the pool's idle list as fresh, so it could be used past the engine's own idle limit, where a call that may not be repeated is lost. Found by the review.

--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -42,7 +42,7 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._request_active = False
-        self.idle_since_s = 0.0
+        self.idle_since_s: float | None = None
         self.keep_alive_timeout_s: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/lacewinglug/wire/pool.py
+++ b/lacewinglug/wire/pool.py
@@ -82,7 +82,8 @@
             connection = await self.acquire(timeout_s=timeout_s)
         except UpstreamError as error:
             return error.refused
-        connection.idle_since_s = self.now_s()
+        if connection.idle_since_s is None:
+            connection.idle_since_s = self.now_s()
         self._idle_connections.append(connection)
         return False
 
@@ -131,7 +132,8 @@
             if announced_s is None
             else announced_s * IDLE_TIMEOUT_FRACTION
         )
-        return self.now_s() - connection.idle_since_s > max_idle_s
+        idle_since_s = connection.idle_since_s
+        return idle_since_s is not None and self.now_s() - idle_since_s > max_idle_s
 
 
 def loop_time_s() -> float:
