--- a/lacewinglug/platform/records.py
+++ b/lacewinglug/platform/records.py
@@ -151,7 +151,9 @@
 
 
 def _is_port(text: str) -> bool:
-    return text.isascii() and text.isdigit() and 0 < int(text[:6]) <= _MAX_PORT
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(_MAX_PORT))):
+        return False
+    return 0 < int(text) <= _MAX_PORT
 
 
 def _is_usable(raw: _Engine) -> bool:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -104,6 +104,7 @@
         {"Address": "nowhere"},
         {"Address": "10.0.0.1:0"},
         {"Address": "10.0.0.1:65536"},
+        {"Address": "10.0.0.1:0000809999"},
         {"Address": "10.0.0.1:" + "9" * 5000},
         {"Address": "10.0.0.1:\u00b2"},
         {"Zone": None},
