--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -246,7 +246,9 @@
             context.lifecycle.apply("lose")
             return Lost(reason="response is unsigned or has a content encoding")
         context.lifecycle.apply("answer")
-        self.state.quarantine.record_answer(context.part_keys, now_s=self.state.now_s())
+        if response.status in _SUCCESS_STATUSES:
+            now_s = self.state.now_s()
+            self.state.quarantine.record_answer(context.part_keys, now_s=now_s)
         headers = encode_response_headers(response.headers)
         return Answered(
             response=Response(
--- a/tests/host/test_crashes.py
+++ b/tests/host/test_crashes.py
@@ -8,7 +8,7 @@
 from lacewinglug.host.quarantine import Crash
 from lacewinglug.host.residency import hash_part
 from tests.host.hosting import running_host
-from tests.platform.scene import HostTestbed
+from tests.platform.scene import HostTestbed, make_configuration
 from tests.platform.standin import FakeRunner
 
 LOG_LINE = "engine crashed while it began an answer"
@@ -118,3 +118,16 @@
         sound = {"X_Lacewinglug_Prompt_Prefix": "c3:13000,b2:4000"}
         assert (await testbed.send_request("/ask/x", **sound)).status == 200
     assert len(testbed.runners[0].runs) == 1
+
+
+# Guards against an error of the engine itself that releases a part.
+async def test_error_of_a_runner_proves_no_part(testbed):
+    configuration = make_configuration(version=2)
+    configuration["Routes"][2] |= {"Kind": "safe", "MaxAttempts": 1}
+    testbed.runners[0].mode = "fail"
+    await testbed.store.put("keyed.op", "config", configuration)
+    async with running_host(testbed.settings) as process:
+        await testbed.wait_until_ready()
+        assert (await testbed.send_request("/ask/x")).status == 500
+        key = hash_part("m", PromptPart(part_id="a1", tokens=13_000)).key
+        assert not process.state.quarantine.is_proven(key)
