Release sound prompt parts in time, and let hosts agree on them

The review showed ways in which a sound part stayed refused for ten minutes or for good: - A trial counted when it was admitted, also if it reached no engine; after three there were no more. Trials that reached no engine are given back, and go on at up to ten minutes; only a part of eight crashes gets none. - Two parts that always come together got no trial; now one request tests both. - A host that missed the news of an answer kept its quarantine, and nobody corrected it: a host that knows better now repeats the news. A report that a part was answered before raises the threshold at once. - Only the eight latest suspects were repeated, which could hide the quarantined ones; they come first, and the rest takes turns. Also: with 256 quarantined parts a new one raised KeyError; a request with hundreds of new parts filled the memory (32 count now); bundles of relays held each report of one crash, 33 524 bytes with 40 hosts (now under one packet, each crash once).

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -147,7 +147,7 @@
         """Return why a request must not be sent, None if it may be."""
         if context.quarantine_trial:
             return None
-        return self.quarantine.find(context.part_keys, now_s=self.now_s())
+        return self.quarantine.find_quarantined(context.part_keys, now_s=self.now_s())
 
     def remove_departed_runners(self) -> None:
         """Remove the state of runners that are no longer registered."""
--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -141,6 +141,11 @@
                 return await self._relay(context, exchange)
         except TimeoutError:
             return self._make_timeout_refusal(context)
+        finally:
+            if context.quarantine_trial and context.lifecycle.not_executed:
+                self.state.quarantine.return_trial(
+                    context.part_keys, now_s=self.state.now_s()
+                )
 
     async def _relay(
         self, context: RequestContext, exchange: Exchange
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import operator
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import cast
 
@@ -13,7 +13,7 @@
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.model import Stage
-from lacewinglug.host.quarantine import SuspectReport
+from lacewinglug.host.quarantine import MAX_CRASHES_PER_PART, SuspectReport
 from lacewinglug.host.residency import HashedPart
 from lacewinglug.host.sharing import ViewUpdate
 from lacewinglug.host.speeds import PrefillWork, SharedSpeed, SpeedSums
@@ -413,21 +413,23 @@
             self._send_to_other_regions(message, data)
 
     def _send_suspects_in_turn(self) -> None:
-        """Send the suspected parts to one other host, another one each time.
+        """Send some suspected parts to one other host, others to another next time.
 
         So a host that missed the reports hears of them all the same.
         """
-        peers = self.table.peers
-        if peers:
-            self._suspect_rotation += 1
-            self._send_suspects([peers[self._suspect_rotation % len(peers)]])
-
-    def _send_suspects(self, recipients: Iterable[HostIdentity]) -> None:
-        """Send the latest suspected prompt parts, if there are any."""
-        reports = self.suspects()[:MAX_SUSPECTS_PER_DATAGRAM]
-        if reports:
-            messages = [_to_suspect_message(item) for item in reports]
-            self._send_to(_encoder.encode(_Datagram(suspects=messages)), recipients)
+        peers, reports = self.table.peers, self.suspects()
+        if not peers or not reports:
+            return
+        self._suspect_rotation += 1
+        turn = self._suspect_rotation // len(peers)
+        chunks = _split_reports(reports)
+        peer = peers[self._suspect_rotation % len(peers)]
+        self._send_to(_encoder.encode(chunks[turn % len(chunks)]), [peer])
+
+    def _send_suspects(self, recipients: Sequence[HostIdentity]) -> None:
+        """Send all suspected prompt parts."""
+        for message in _split_reports(self.suspects()):
+            self._send_to(_encoder.encode(message), recipients)
 
     def send_heartbeat_to(self, ip: str) -> None:
         """Send a heartbeat to an address at which a host may be listening."""
@@ -631,9 +633,12 @@
             crashes = _age_crashes(
                 message.crashes, by_ms=round((now_s - added_s) * 1000)
             )
+            # Several hosts report the same crash.
+            merged = dict([*suspect.crashes, *crashes]).items()
+            newest = sorted(merged, key=operator.itemgetter(1))[:MAX_CRASHES_PER_PART]
             suspect = msgspec.structs.replace(
                 suspect,
-                crashes=[*suspect.crashes, *crashes],
+                crashes=newest,
                 proven=suspect.proven or message.proven,
                 trial_count=max(suspect.trial_count, message.trial_count),
                 next_trial_ms=max(suspect.next_trial_ms, message.next_trial_ms),
@@ -710,6 +715,15 @@
     )
 
 
+def _split_reports(reports: Sequence[SuspectReport]) -> list[_Datagram]:
+    """Return datagrams with the reports, split to fit one packet each."""
+    messages = [_to_suspect_message(item) for item in reports]
+    return [
+        _Datagram(suspects=messages[start : start + MAX_SUSPECTS_PER_DATAGRAM])
+        for start in range(0, len(messages), MAX_SUSPECTS_PER_DATAGRAM)
+    ]
+
+
 def _age_crashes(
     crashes: list[tuple[int, int]], *, by_ms: int
 ) -> list[tuple[int, int]]:
--- a/lacewinglug/host/quarantine.py
+++ b/lacewinglug/host/quarantine.py
@@ -23,16 +23,15 @@
 SAME_CRASH_S = 2.0
 """Maximum difference between the reports of several hosts on one crash, in seconds; an
 engine takes longer to restart."""
-EVIDENCE_TTL_S = 600.0
-"""Time after the last crash, or the last refusal, after which a part is no longer
-suspected, in seconds."""
+EVIDENCE_TTL_S = 3600.0
+"""Time after the last crash after which a part is no longer suspected, in seconds."""
 FIRST_TRIAL_S = 20.0
 """Time after which one request with a quarantined part is admitted, in seconds; several
 times the restart of an engine."""
 TRIAL_INTERVAL_FACTOR = 4.0
 """Factor by which the time to the next trial grows."""
-MAX_TRIALS = 3
-"""Trials of a quarantined part; after the last it is refused until it is forgotten."""
+MAX_TRIAL_INTERVAL_S = 600.0
+"""Maximum time to the next trial, in seconds."""
 TRIAL_SPREAD = 0.25
 """Maximum random extension of the time to a trial, as a fraction, so that several hosts
 do not start the same trial."""
@@ -43,7 +42,12 @@
 MAX_SUSPECTS = 256
 """Maximum number of suspected parts; the least recently reported one is dropped."""
 MAX_CRASHES_PER_PART = 8
-"""Maximum number of crashes that are remembered for a part."""
+"""Maximum number of crashes that are remembered for a part. With so many, it gets no
+more trials."""
+MAX_PARTS_PER_CRASH = 32
+"""Maximum number of parts of one request that are suspected."""
+PROVEN_REPEAT_INTERVAL_S = 0.25
+"""Minimum time between repeated news of answers, in seconds."""
 MAX_PROVEN_PARTS = 8192
 """Maximum number of parts that are remembered as answered."""
 
@@ -107,9 +111,9 @@
     crashes: list[Crash] = field(default_factory=list)
     proven: bool = False
     quarantined: bool = False
+    ambiguous: bool = False
     trial_count: int = 0
     next_trial_at_s: float = 0.0
-    last_used_s: float = 0.0
 
     @property
     def threshold(self) -> int:
@@ -124,9 +128,21 @@
     def engines(self) -> set[int]:
         return {crash.engine for crash in self.crashes}
 
-    def is_trial_due(self, *, now_s: float) -> bool:
-        """Return whether a request may test the part now."""
-        return self.trial_count < MAX_TRIALS and now_s >= self.next_trial_at_s
+    @property
+    def may_be_tested(self) -> bool:
+        """Whether the part gets further trials."""
+        return len(self.crashes) < MAX_CRASHES_PER_PART
+
+    def is_trial_due(self, *, alone: bool, now_s: float) -> bool:
+        """Return whether a request may test the part now.
+
+        :param alone: whether the request has no other quarantined part.
+        """
+        if not self.may_be_tested:
+            return False
+        if alone and self.ambiguous and self.trial_count == 0:
+            return True
+        return now_s >= self.next_trial_at_s
 
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it was unknown."""
@@ -172,16 +188,17 @@
     on_proven: Callable[[int], None] = lambda _: None
     _suspects: OrderedDict[int, _Suspect] = field(default_factory=OrderedDict)
     _proven_at_s: OrderedDict[int, float] = field(default_factory=OrderedDict)
+    _proven_repeated_at_s: float = float("-inf")
 
     def is_proven(self, part: int) -> bool:
         """Return whether a request with a part was answered, with no crash since."""
         return part in self._proven_at_s and part not in self._suspects
 
     def is_suspicious(self, parts: Iterable[int]) -> bool:
-        """Return whether a request may crash an engine again that it has crashed.
+        """Return whether a request that lost its engine must not be sent to another.
 
-        That is so unless requests with each of its parts were answered before, and
-        none of the parts occurred in several crashes since.
+        It may be if requests with each of its parts were answered before, and none of
+        the parts occurred in several crashes since.
         """
         return any(
             part not in self._proven_at_s
@@ -189,14 +206,16 @@
             for part in parts
         )
 
-    def find(self, parts: Iterable[int], *, now_s: float) -> Quarantined | None:
+    def find_quarantined(
+        self, parts: Iterable[int], *, now_s: float
+    ) -> Quarantined | None:
         """Return the first of the parts that is quarantined, None without one."""
         for part in parts if self._suspects else ():
             suspect = self._suspects.get(part)
             if suspect is None or not suspect.quarantined:
                 continue
             left_s = suspect.next_trial_at_s - now_s
-            if suspect.trial_count >= MAX_TRIALS:
+            if not suspect.may_be_tested:
                 left_s = MAX_RETRY_AFTER_S
             return Quarantined(
                 part=part,
@@ -212,29 +231,27 @@
     def admit(self, parts: Sequence[int], *, now_s: float) -> Admitted | Quarantined:
         """Decide whether a request with the given parts may be sent to engines.
 
-        A request with one quarantined part is admitted as a trial when one is due.
+        A request is admitted as a trial when one is due for all its quarantined parts.
         """
         self._remove_expired(now_s=now_s)
-        quarantined = self.find(parts, now_s=now_s)
+        quarantined = self.find_quarantined(parts, now_s=now_s)
         if quarantined is None:
             return Admitted()
-        suspect = self._suspects[quarantined.part]
-        suspect.last_used_s = now_s
-        alone = sum(self._is_quarantined(part) for part in parts) == 1
-        if alone and suspect.is_trial_due(now_s=now_s):
-            interval_s = FIRST_TRIAL_S * TRIAL_INTERVAL_FACTOR**suspect.trial_count
-            suspect.trial_count += 1
-            self._set_next_trial(suspect, interval_s, now_s=now_s)
-            logger.info(
-                "one request with a quarantined prompt part is admitted",
-                extra={
-                    "part": format_part(quarantined.part),
-                    "trial": suspect.trial_count,
-                },
-            )
-            self.on_suspect(_make_report(quarantined.part, suspect, now_s=now_s))
-            return Admitted(trial=True)
-        return quarantined
+        tested = {part for part in parts if self._is_quarantined(part)}
+        alone = len(tested) == 1
+        for part in tested:
+            if not self._suspects[part].is_trial_due(alone=alone, now_s=now_s):
+                return quarantined
+        for part in tested:
+            self._start_trial(part, now_s=now_s)
+        return Admitted(trial=True)
+
+    def return_trial(self, parts: Iterable[int], *, now_s: float) -> None:
+        """Allow another trial soon, since the last one did not reach an engine."""
+        for part in {part for part in parts if self._is_quarantined(part)}:
+            suspect = self._suspects[part]
+            suspect.trial_count = max(0, suspect.trial_count - 1)
+            self._set_next_trial(suspect, MIN_RETRY_AFTER_S, now_s=now_s)
 
     def record_crash(self, parts: Sequence[int], crash: Crash, *, now_s: float) -> None:
         """Record that an engine crashed while it began to answer a request.
@@ -244,9 +261,8 @@
         """
         quarantined = [part for part in parts if self._is_quarantined(part)]
         unproven = [part for part in parts if not self.is_proven(part)]
-        suspects = {
-            part: self._suspect(part) for part in quarantined or unproven or parts
-        }
+        blamed = (quarantined or unproven or list(parts))[:MAX_PARTS_PER_CRASH]
+        suspects = {part: self._suspect(part) for part in blamed}
         news = [part for part, suspect in suspects.items() if suspect.add(crash)]
         if news:
             self._update(now_s=now_s)
@@ -273,22 +289,25 @@
             if now_s - age_s > proven_at_s and age_s < EVIDENCE_TTL_S
         ]
         if not crashes:
+            self._repeat_proven(report.part, now_s=now_s)
             return
         suspect = self._suspect(report.part)
+        changed = report.proven and not suspect.proven
         suspect.proven = suspect.proven or report.proven
-        added = [suspect.add(crash) for crash in crashes]
-        if any(added):
+        for crash in crashes:
+            changed = suspect.add(crash) or changed
+        if changed:
             self._update(now_s=now_s)
         if report.trial_count > suspect.trial_count:
             suspect.trial_count = report.trial_count
             suspect.next_trial_at_s = now_s + report.next_trial_s
 
     def reports(self, *, now_s: float) -> list[SuspectReport]:
-        """Return all suspected parts, the most recently reported ones first."""
-        return [
-            _make_report(part, suspect, now_s=now_s)
-            for part, suspect in reversed(self._suspects.items())
-        ]
+        """Return all suspected parts, the quarantined ones first."""
+        ordered = sorted(
+            self._suspects.items(), key=lambda item: not item[1].quarantined
+        )
+        return [_make_report(part, suspect, now_s=now_s) for part, suspect in ordered]
 
     def _is_quarantined(self, part: int) -> bool:
         suspect = self._suspects.get(part)
@@ -297,10 +316,10 @@
     def _suspect(self, part: int) -> _Suspect:
         suspect = self._suspects.get(part)
         if suspect is None:
+            if len(self._suspects) >= MAX_SUSPECTS:
+                self._drop_oldest_suspect()
             suspect = _Suspect(proven=part in self._proven_at_s)
             self._suspects[part] = suspect
-            if len(self._suspects) > MAX_SUSPECTS:
-                self._drop_oldest_suspect()
         self._suspects.move_to_end(part)
         return suspect
 
@@ -312,6 +331,15 @@
                 return
         self._suspects.popitem(last=False)
 
+    def _repeat_proven(self, part: int, *, now_s: float) -> None:
+        """Tell the other hosts of an answer again, as one still suspects the part."""
+        if (
+            part in self._proven_at_s
+            and now_s - self._proven_repeated_at_s > PROVEN_REPEAT_INTERVAL_S
+        ):
+            self._proven_repeated_at_s = now_s
+            self.on_proven(part)
+
     def _mark_proven(self, part: int, *, now_s: float) -> bool:
         """Record an answer; return whether the part was suspected."""
         self._proven_at_s[part] = now_s
@@ -328,11 +356,10 @@
 
     def _remove_expired(self, *, now_s: float) -> None:
         for part, suspect in list(self._suspects.items()):
-            last_s = max(suspect.last_used_s, suspect.crashes[-1].at_s)
-            if now_s - last_s > EVIDENCE_TTL_S:
+            if now_s - suspect.crashes[-1].at_s > EVIDENCE_TTL_S:
                 del self._suspects[part]
                 if suspect.quarantined:
-                    _log_release(part, "no request had it for a long time")
+                    _log_release(part, "its last crash was long ago")
 
     def _update(self, *, now_s: float) -> None:
         """Derive from all known crashes which parts are quarantined.
@@ -368,7 +395,7 @@
         Where the same crashes speak against several parts, a request with only one of
         them is admitted at once, since it tells which.
         """
-        ambiguous = sum(item.engines == suspect.engines for item in found) > 1
+        suspect.ambiguous = sum(item.engines == suspect.engines for item in found) > 1
         if not suspect.quarantined:
             suspect.quarantined = True
             self._set_next_trial(suspect, FIRST_TRIAL_S, now_s=now_s)
@@ -378,11 +405,22 @@
                     "part": format_part(part),
                     "crashes": len(suspect.crashes),
                     "answered_before": suspect.proven,
-                    "ambiguous": ambiguous,
+                    "ambiguous": suspect.ambiguous,
                 },
             )
-        if ambiguous and suspect.trial_count == 0:
-            suspect.next_trial_at_s = now_s
+
+    def _start_trial(self, part: int, *, now_s: float) -> None:
+        suspect = self._suspects[part]
+        interval_s = FIRST_TRIAL_S * TRIAL_INTERVAL_FACTOR**suspect.trial_count
+        suspect.trial_count += 1
+        self._set_next_trial(
+            suspect, min(interval_s, MAX_TRIAL_INTERVAL_S), now_s=now_s
+        )
+        logger.info(
+            "one request with a quarantined prompt part is admitted",
+            extra={"part": format_part(part), "trial": suspect.trial_count},
+        )
+        self.on_suspect(_make_report(part, suspect, now_s=now_s))
 
     def _set_next_trial(
         self, suspect: _Suspect, interval_s: float, *, now_s: float
--- a/tests/host/test_forwarding.py
+++ b/tests/host/test_forwarding.py
@@ -17,6 +17,7 @@
 
 REGIONS = {"mtl-a": "mtl", "qc-a": "qc"}
 PORT = 7380
+MAX_PACKET_BYTES = 1472
 
 
 class Network:
@@ -34,6 +35,7 @@
         self.speeds_received = dict.fromkeys(names, 0.0)
         self.speeds_to_share = {}
         self.quarantines = {name: PartQuarantine() for name in names}
+        self.on_send = lambda data: None
         self.links = {name: self._make_link(name) for name in names}
 
     def _make_link(self, name):
@@ -74,6 +76,7 @@
         return link
 
     def send(self, source, data, address):
+        self.on_send(data)
         target = next(n for n, item in self.identities.items() if item.ip == address)
         if self.identities[source].zone != self.identities[target].zone:
             self.cross_region_sends += 1
@@ -365,3 +368,20 @@
         assert network.hosts_that_refuse(7) == set(network.links)
 
     network.run(script)
+
+
+# Guards against bundles that grow with each host that reports a crash.
+def test_relays_merge_reports_of_one_crash():
+    network = Network(near_hosts=12, far_hosts=12)
+    sizes = []
+
+    async def script():
+        await asyncio.sleep(5.0)
+        network.on_send = lambda data: sizes.append(len(data))
+        for host in network.links:
+            for part in range(7, 27):
+                network.crash(host, part, engine=1)
+        await asyncio.sleep(2.0)
+        assert max(sizes) < MAX_PACKET_BYTES
+
+    network.run(script)
