Don't say that a call has not run when its runner was lost and none is left

A safe call whose only runner began to drain and then reset the connection was answered 503 with Retry-After, which promises that it has not run. It had reached the runner and may have run. The choice of the next runner found none and refused without asking the state of the request. It now asks it, as the other refusals do: 502, outcome unknown; still 503 where nothing was sent.

The new test failed before with "assert 503 == 502" and passes now; tests/host/test_relay.py passes.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -3,7 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
-from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
+from lacewinglug.host.answers import (
+    NO_RUNNER_RETRY_AFTER_S,
+    Refusal,
+    RefusalReason,
+    refuse_as_not_run,
+)
 from lacewinglug.host.context import Attempt, HostState, RequestContext
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.plain import choose_plain_runner
@@ -75,7 +80,11 @@
         while True:
             entry = self._choose_runner(context)
             if entry is None:
-                return failure or refuse_as_not_run(RefusalReason.NO_RUNNER)
+                return failure or self._make_refusal(
+                    context,
+                    RefusalReason.NO_RUNNER,
+                    retry_after_s=NO_RUNNER_RETRY_AFTER_S,
+                )
             outcome = await self._attempt(context, entry)
             match outcome:
                 case Unreached():
@@ -202,9 +211,15 @@
             )
         )
 
-    def _make_refusal(self, context: RequestContext, reason: RefusalReason) -> Refusal:
+    def _make_refusal(
+        self,
+        context: RequestContext,
+        reason: RefusalReason,
+        *,
+        retry_after_s: float = REJECTED_RETRY_AFTER_S,
+    ) -> Refusal:
         if context.lifecycle.not_executed:
-            return refuse_as_not_run(reason, retry_after_s=REJECTED_RETRY_AFTER_S)
+            return refuse_as_not_run(reason, retry_after_s=retry_after_s)
         return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
 
 
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -366,3 +366,23 @@
         prefiller.close()
         answer = await scene.send_request("/notes/1")
     assert (answer.body, answer.complete) == (STREAM, True)
+
+
+async def test_a_call_that_may_have_run_is_not_called_not_run_if_no_runner_is_left():
+    """Regression test: a safe call whose only runner began to drain and then reset the
+    connection was refused with 503, as if it had not run.
+    """
+    runner = make_app_runner()
+    runner.mode = "hang"
+    async with running_scene(runner) as scene:
+        waiting = asyncio.create_task(
+            scene.send_request("/status/", method="GET", body=b"")
+        )
+        while not runner.runs:
+            await asyncio.sleep(0.01)
+        await scene.store.put("keyed.servers", "app-1", runner.entry("draining"))
+        while scene.process.state.fleet.ready("app"):
+            await asyncio.sleep(0.02)
+        runner.close()
+        answer = await waiting
+    assert answer.status == 502
