Send nothing more to a runner that says in a response that it leaves

Runners say in all their responses that they leave, in the header Server-Leaving. Hosts didn't read it: only the registry's word counted, so a runner got requests until its entry changed, or for as long as the entry said ready or the store was away.

The notice now enters FleetView like the registry's word, at once, and is final for the incarnation (instance and start time), also if the registry lists the runner as ready, removes it and lists it again, or is away. Heads of final, interim, failed, stale and unsigned responses count, and those of the host's own calls. Attempts ask before they connect and again right before they send; so do all that choose among ready runners. A restarted runner and another one at the same address start fresh; of two entries of equal age at an address the one that doesn't leave counts. The registry's own word now also outlasts the removal of its entry; it used to be forgotten then.

Log line "runner says that it leaves", fields of the steps place and withheld, two counters, and source and age in host-status.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -127,6 +127,7 @@
             runner=choice.entry.instance,
             expected_ms=round(choice.cost_s * 1000),
             runners=len(self.state.fleet.ready(context.service.name)),
+            **self.state.notices.describe_left_out(context.service.name),
         )
         return choice.entry
 
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -18,6 +18,11 @@
     Service,
     Stage,
 )
+from lacewinglug.host.notices import (
+    RunnerNotices,
+    describe_objection,
+    objection_fields,
+)
 from lacewinglug.host.reporting import HostMetrics, RequestTrace
 from lacewinglug.host.routes import RouteTable
 from lacewinglug.host.upstreams import Upstreams
@@ -56,6 +61,7 @@
     :param fleet: registered runners.
     :param engines: known load and cache content of the engines.
     :param upstreams: connection pools and health of the runners.
+    :param notices: what runners say in responses about taking further requests.
     :param geography: regions of the availability zones.
     :param background_tasks: tasks that outlive the request that started them.
     :param retry_budgets: retry budget of each service.
@@ -70,12 +76,14 @@
     fleet: FleetView = field(default_factory=FleetView)
     engines: EngineTracker = field(default_factory=EngineTracker)
     upstreams: Upstreams = field(init=False)
+    notices: RunnerNotices = field(init=False)
     geography: Geography = field(init=False)
     background_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.upstreams = Upstreams(now_s=self.now_s, host_count=self.count_hosts)
+        self.notices = RunnerNotices(fleet=self.fleet, metrics=self.metrics)
         self.geography = Geography(regions=self.settings.zone_regions)
 
     def retry_budget(self, service: str) -> RetryBudget:
@@ -119,7 +127,10 @@
                     body=body,
                 )
                 response = await connection.read_response(
-                    max_body_bytes=MAX_ENGINE_RESPONSE_BYTES
+                    max_body_bytes=MAX_ENGINE_RESPONSE_BYTES,
+                    on_head=lambda head: self.notices.record(
+                        entry, head, now_s=self.now_s()
+                    ),
                 )
             except BaseException:
                 pool.abort(connection)
@@ -237,8 +248,10 @@
     async def connect(self) -> None:
         """Acquire a connection to the runner.
 
-        :raises UpstreamError: no connection is available; nothing was sent.
+        :raises UpstreamError: no connection is available, or the runner may not get
+            the request; nothing was sent.
         """
+        self._check_notices()
         timeout_s = min(
             CONNECT_TIMEOUT_S, max(0.05, self._context.remaining_s(self._state.now_s()))
         )
@@ -252,13 +265,11 @@
     def send(self, fields: ForwardingFields) -> None:
         """Send the request.
 
-        :raises UpstreamError: the connection was closed, or the runner is draining or
-            has left; nothing was sent.
+        :raises UpstreamError: the connection was closed, or the runner may not get the
+            request; nothing was sent.
         """
         assert self._connection is not None
-        known = self._state.fleet.get(self.entry.instance)
-        if known is None or known.draining:
-            raise UpstreamError("runner is draining or has left", sent=False)
+        self._check_notices()
         request = self._context.request
         self.started_s = self._state.now_s()
         self._connection.send_request(
@@ -278,7 +289,7 @@
         """
         assert self._connection is not None
         while True:
-            head = await self._connection.read_head()
+            head = await self._connection.read_head(on_head=self._record_notices)
             self._record_response()
             metadata = decode_response_headers(head.headers)
             if metadata.load is not None:
@@ -294,6 +305,27 @@
         self._record_response()
         return chunk
 
+    def _check_notices(self) -> None:
+        """Check that the runner may get a request now.
+
+        :raises UpstreamError: it may not, because of what it or the registry said.
+        """
+        now_s = self._state.now_s()
+        objection = self._state.notices.find_objection(self.entry, now_s=now_s)
+        if objection is None:
+            return
+        fields = objection_fields(objection)
+        self._context.trace.add_step(
+            "withheld", now_s=now_s, runner=self.entry.instance, **fields
+        )
+        self._state.metrics.withheld_requests.labels(
+            self._context.service.name, fields["reason"]
+        ).inc()
+        raise UpstreamError(describe_objection(objection), sent=False)
+
+    def _record_notices(self, head: ResponseHead) -> None:
+        self._state.notices.record(self.entry, head, now_s=self._state.now_s())
+
     def _record_response(self) -> None:
         now_s = self._state.now_s()
         self._state.fleet.record_response(self.entry.instance, now_s=now_s)
--- a/lacewinglug/host/fleet.py
+++ b/lacewinglug/host/fleet.py
@@ -3,7 +3,8 @@
 import logging
 import math
 from collections.abc import Iterable, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from enum import Enum
 
 from lacewinglug.host.model import RunnerEntry
 
@@ -19,19 +20,44 @@
 MAX_DEPARTED_RUNNERS = 256
 """Maximum number of departed runners to remember; several times the runners of a
 service."""
+MAX_LEAVING_NOTICES = 1024
+"""Maximum number of leaving notices to remember of incarnations that are not
+registered."""
+
+
+class LeavingSource(Enum):
+    """Where a host learned that a runner leaves."""
+
+    REGISTRY = "registry"
+    RESPONSE = "response"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingNotice:
+    """A notice that a runner leaves; it is final for the runner's incarnation.
+
+    :param source: first source of the notice.
+    :param seen_at_s: monotonic time at which that source was read.
+    """
+
+    source: LeavingSource
+    seen_at_s: float
 
 
 @dataclass(kw_only=True)
 class FleetView:
     """Registered runners, with the time at which they were read from the store.
 
+    A runner that the registry lists as draining, or that says in a response that it
+    leaves, has draining set in all entries of its incarnation.
+
     :param read_at_s: monotonic time of the last successful read, None before the first.
     """
 
     read_at_s: float | None = None
     _entries: dict[str, RunnerEntry] = field(default_factory=dict)
     _by_service: dict[str, tuple[RunnerEntry, ...]] = field(default_factory=dict)
-    _draining_incarnations: dict[str, int] = field(default_factory=dict)
+    _leaving: dict[tuple[str, int], LeavingNotice] = field(default_factory=dict)
     _missing: Set[str] = frozenset()
     _departed: dict[str, None] = field(default_factory=dict)
     _responded_at_s: dict[str, float] = field(default_factory=dict)
@@ -75,7 +101,9 @@
             logger.info("store available again")
         if grace_s > 0:
             self._grace_until_s = max(self._grace_until_s, now_s + grace_s)
-        fresh = {item.instance: self._keep_draining(item) for item in entries}
+        fresh = {
+            item.instance: self._keep_leaving(item, now_s=now_s) for item in entries
+        }
         for instance in fresh:
             self._departed.pop(instance, None)
         missing = self._entries.keys() - fresh.keys()
@@ -92,12 +120,57 @@
         }
         self._log_changes(fresh)
         self._entries = fresh
-        self._draining_incarnations = {
-            item.instance: item.born_ms for item in fresh.values() if item.draining
-        }
+        self._forget_old_notices()
         self._by_service = _group(fresh.values())
         self.read_at_s = now_s
 
+    def record_leaving(self, entry: RunnerEntry, *, now_s: float) -> bool:
+        """Record that a runner said in a response that it leaves.
+
+        :param entry: entry that the request was sent by.
+        :returns: whether this incarnation was not known to leave.
+        """
+        if _incarnation(entry) in self._leaving:
+            return False
+        self._leaving[_incarnation(entry)] = LeavingNotice(
+            source=LeavingSource.RESPONSE, seen_at_s=now_s
+        )
+        logger.info(
+            "runner says that it leaves",
+            extra={
+                "runner": entry.instance,
+                "born_ms": entry.born_ms,
+                "service": entry.service,
+                "zone": entry.zone,
+                "view_age_s": round(self.age_s(now_s), 3),
+            },
+        )
+        known = self._entries.get(entry.instance)
+        if known is not None and known.born_ms == entry.born_ms:
+            self._entries[entry.instance] = replace(known, draining=True)
+            self._by_service = _group(self._entries.values())
+        return True
+
+    def leaving_notice(self, entry: RunnerEntry) -> LeavingNotice | None:
+        """Return the notice that an incarnation of a runner leaves, None if none."""
+        return self._leaving.get(_incarnation(entry))
+
+    def leaving_by_response(self, service: str) -> list[str]:
+        """Return the registered runners of a service that said themselves they leave.
+
+        The instances are in the order in which they said so.
+        """
+        found = []
+        for (instance, born_ms), notice in self._leaving.items():
+            entry = self._entries.get(instance)
+            if (
+                notice.source is LeavingSource.RESPONSE
+                and entry is not None
+                and (entry.service, entry.born_ms) == (service, born_ms)
+            ):
+                found.append(instance)
+        return found
+
     def record_response(self, instance: str, *, now_s: float) -> None:
         """Record that a runner sent a part of a response."""
         self._responded_at_s[instance] = now_s
@@ -125,14 +198,21 @@
         """All entries, including those of draining runners."""
         return tuple(self._entries.values())
 
-    def _keep_draining(self, entry: RunnerEntry) -> RunnerEntry:
-        """Return the entry to use: draining is final within one incarnation."""
-        if (
-            self._draining_incarnations.get(entry.instance) != entry.born_ms
-            or entry.draining
-        ):
-            return entry
-        return self._entries[entry.instance]
+    def _keep_leaving(self, entry: RunnerEntry, *, now_s: float) -> RunnerEntry:
+        """Return the entry to use: leaving is final within one incarnation."""
+        if entry.draining:
+            self._leaving.setdefault(
+                _incarnation(entry),
+                LeavingNotice(source=LeavingSource.REGISTRY, seen_at_s=now_s),
+            )
+        return replace(entry, draining=_incarnation(entry) in self._leaving)
+
+    def _forget_old_notices(self) -> None:
+        """Forget the oldest notices of incarnations that are not registered."""
+        registered = {_incarnation(item) for item in self._entries.values()}
+        old = [key for key in self._leaving if key not in registered]
+        for key in old[: max(0, len(old) - MAX_LEAVING_NOTICES)]:
+            del self._leaving[key]
 
     def _record_departed(self, missing: Iterable[str], *, now_s: float) -> None:
         """Remember runners that left deliberately, or were missing after an outage."""
@@ -168,15 +248,20 @@
                 )
 
 
+def _incarnation(entry: RunnerEntry) -> tuple[str, int]:
+    return entry.instance, entry.born_ms
+
+
 def _group(entries: Iterable[RunnerEntry]) -> dict[str, tuple[RunnerEntry, ...]]:
     """Return the runners that accept work, by service.
 
-    If two entries have the same address, only the newer one counts.
+    If two entries have the same address, only the newer one counts, or the one that
+    does not leave if both are equally old.
     """
     newest: dict[str, RunnerEntry] = {}
     for entry in entries:
         known = newest.get(entry.address)
-        if known is None or entry.born_ms > known.born_ms:
+        if known is None or _takes_address_from(known, entry):
             newest[entry.address] = entry
     groups: dict[str, list[RunnerEntry]] = {}
     for entry in newest.values():
@@ -186,3 +271,7 @@
         service: tuple(sorted(items, key=lambda item: item.instance))
         for service, items in groups.items()
     }
+
+
+def _takes_address_from(known: RunnerEntry, entry: RunnerEntry) -> bool:
+    return (entry.born_ms, not entry.draining) > (known.born_ms, not known.draining)
--- a/lacewinglug/host/model.py
+++ b/lacewinglug/host/model.py
@@ -317,6 +317,7 @@
     :param not_executed: whether the runner reports that it did not run the request.
     :param load: load of the runner, None if not reported.
     :param content_encoded: whether a content encoding changed the runner's body.
+    :param leaving: whether the runner says that it leaves.
     """
 
     request_id: str
@@ -324,6 +325,7 @@
     not_executed: bool
     load: RunnerLoad | None = None
     content_encoded: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lacewinglug/host/placing.py
+++ b/lacewinglug/host/placing.py
@@ -99,7 +99,11 @@
         if plan is None:
             return None
         context.trace.add_step(
-            "place", now_s=snapshot.now_s, rank=job.priority, **_log_fields(plan)
+            "place",
+            now_s=snapshot.now_s,
+            rank=job.priority,
+            **_log_fields(plan),
+            **self.state.notices.describe_left_out(context.service.name),
         )
         return Placement(plan=plan, priority=job.priority)
 
--- a/lacewinglug/host/reporting.py
+++ b/lacewinglug/host/reporting.py
@@ -92,6 +92,18 @@
             ["service", "result"],
             registry=self.registry,
         )
+        self.runner_notices = Counter(
+            "lacewinglug_runner_notices",
+            "Notices of runners in responses, by service and kind",
+            ["service", "notice"],
+            registry=self.registry,
+        )
+        self.withheld_requests = Counter(
+            "lacewinglug_requests_withheld",
+            "Requests that were not sent to the runner chosen for them, by reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
         self.store_failures = Counter(
             "lacewinglug_store_failures",
             "Calls to the store that failed, by what was wanted",
--- a/lacewinglug/host/status.py
+++ b/lacewinglug/host/status.py
@@ -18,6 +18,9 @@
     :param zone: its availability zone.
     :param stage: stage of prompt processing that it handles.
     :param draining: whether it is shutting down and gets no new requests.
+    :param leaving_source: where this host learned that: ``registry`` or ``response``;
+        empty if it is not draining.
+    :param leaving_age_s: time since then, in seconds.
     :param in_use: estimated requests at the runner, from all hosts.
     :param failure_share: estimated fraction of requests that fail.
     :param blocked_for_s: remaining time without new requests after a failure, in
@@ -36,6 +39,8 @@
     blocked_for_s: float
     connections: int
     idle_connections: int
+    leaving_source: str = ""
+    leaving_age_s: float = 0.0
 
 
 class RetryBudgetStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,6 +106,7 @@
 def _runner_status(state: HostState, entry: RunnerEntry, now_s: float) -> RunnerStatus:
     health = state.upstreams.health(entry.instance)
     connections = state.upstreams.count_connections(entry.instance)
+    notice = state.fleet.leaving_notice(entry)
     return RunnerStatus(
         runner=entry.instance,
         service=entry.service,
@@ -112,4 +118,6 @@
         blocked_for_s=max(0.0, health.blocked_until_s - now_s),
         connections=connections.open,
         idle_connections=connections.idle,
+        leaving_source="" if notice is None else notice.source.value,
+        leaving_age_s=0.0 if notice is None else now_s - notice.seen_at_s,
     )
--- a/lacewinglug/platform/headers.py
+++ b/lacewinglug/platform/headers.py
@@ -36,6 +36,8 @@
 # Running requests, queued requests, slots, and service time in percent of normal.
 _SERVER_LOAD = b"X-Lacewinglug-Server-Load"
 _INSTANCE_ID = b"X-Lacewinglug-Instance-Id"
+# The platform's page gives this name without the common beginning of the others.
+_SERVER_LEAVING_NAMES = (b"Server-Leaving", b"X-Lacewinglug-Server-Leaving")
 
 _INTERNAL_HEADERS = frozenset(
     name.lower()
@@ -54,6 +56,7 @@
         _RESPONSE_SIGNATURE,
         _INSTANCE_ID,
         _SERVER_LOAD,
+        *_SERVER_LEAVING_NAMES,
     )
 )
 _PROTECTED_REQUEST_HEADERS = frozenset(
@@ -71,7 +74,13 @@
     {_REQUEST_ID.lower(), _RESPONSE_SIGNATURE.lower()}
 )
 _INTERNAL_RESPONSE_HEADERS = frozenset(
-    {_NOT_EXECUTED.lower(), _SERVER_LOAD.lower(), _INSTANCE_ID.lower(), b"retry-after"}
+    {
+        _NOT_EXECUTED.lower(),
+        _SERVER_LOAD.lower(),
+        _INSTANCE_ID.lower(),
+        b"retry-after",
+        *(name.lower() for name in _SERVER_LEAVING_NAMES),
+    }
 )
 _MS_PER_S = 1000
 _PERCENT = 100.0
@@ -143,6 +152,7 @@
         not_executed=first_header(headers, _NOT_EXECUTED.lower()) is not None,
         load=_decode_load(first_header(headers, _SERVER_LOAD.lower())),
         content_encoded=first_header(headers, b"content-encoding") is not None,
+        leaving=_decode_leaving(headers),
     )
 
 
@@ -195,6 +205,16 @@
     return tuple(parts)
 
 
+def _decode_leaving(headers: Headers) -> bool:
+    """Return whether one of the values is ``1``; all others mean nothing."""
+    return any(
+        token.strip() == b"1"
+        for name in _SERVER_LEAVING_NAMES
+        for value in header_values(headers, name.lower())
+        for token in value.split(b",")
+    )
+
+
 def _decode_load(text: bytes | None) -> RunnerLoad | None:
     if text is None:
         return None
--- a/lacewinglug/ui/host_status.py
+++ b/lacewinglug/ui/host_status.py
@@ -73,6 +73,8 @@
     )
     if runner.draining:
         text += " draining"
+    if runner.leaving_source:
+        text += f" by {runner.leaving_source} {runner.leaving_age_s:.1f} s ago"
     if runner.blocked_for_s > 0:
         text += f" blocked for {runner.blocked_for_s:.1f} s"
     return text
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -1,7 +1,7 @@
 """Client side of an HTTP/1.1 connection; h11 does the framing."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import h11
 
@@ -116,19 +116,26 @@
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         self._transport.write(b"".join(parts))
 
-    async def read_head(self) -> ResponseHead:
+    async def read_head(
+        self, *, on_head: Callable[[ResponseHead], None] | None = None
+    ) -> ResponseHead:
         """Return the status and headers of the response.
 
+        :param on_head: called with each head, those of interim responses included.
         :raises UpstreamError: the response is malformed or missing.
         """
         while True:
             event = await self._next_event()
             match event:
-                case h11.InformationalResponse():
-                    continue
-                case h11.Response():
-                    headers = tuple(event.headers.raw_items())
-                    return ResponseHead(status=event.status_code, headers=headers)
+                case h11.InformationalResponse() | h11.Response():
+                    head = ResponseHead(
+                        status=event.status_code,
+                        headers=tuple(event.headers.raw_items()),
+                    )
+                    if on_head is not None:
+                        on_head(head)
+                    if isinstance(event, h11.Response):
+                        return head
                 case _:
                     raise UpstreamError("no response", sent=True)
 
@@ -146,12 +153,18 @@
             case _:
                 raise UpstreamError("truncated response", sent=True)
 
-    async def read_response(self, *, max_body_bytes: int) -> Response:
+    async def read_response(
+        self,
+        *,
+        max_body_bytes: int,
+        on_head: Callable[[ResponseHead], None] | None = None,
+    ) -> Response:
         """Return a complete response with its body.
 
+        :param on_head: as in :meth:`read_head`.
         :raises UpstreamError: the response is truncated, malformed or too long.
         """
-        head = await self.read_head()
+        head = await self.read_head(on_head=on_head)
         body = bytearray()
         while (part := await self.read_body_chunk()) is not None:
             body += part
--- a/tests/host/test_fleet.py
+++ b/tests/host/test_fleet.py
@@ -1,6 +1,15 @@
 """Tests for the view of runners across changes and outages of the store."""
 
-from lacewinglug.host.fleet import MAX_DEPARTED_RUNNERS, REGISTRATION_GRACE_S, FleetView
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewinglug.host.fleet import (
+    MAX_DEPARTED_RUNNERS,
+    MAX_LEAVING_NOTICES,
+    REGISTRATION_GRACE_S,
+    FleetView,
+    LeavingSource,
+)
 from tests.host.samples import make_runner
 
 
@@ -102,3 +111,118 @@
         view.update([], now_s=2.0 * number + 1.0)
     assert not view.has_left("r-0")
     assert view.has_left(f"r-{MAX_DEPARTED_RUNNERS + 9}")
+
+
+def test_a_runner_that_says_it_leaves_is_draining_at_once_and_for_good():
+    view = FleetView()
+    view.update([make_runner("a", born_ms=5), make_runner("b")], now_s=0.0)
+    assert view.record_leaving(make_runner("a", born_ms=5), now_s=1.0)
+    assert not view.record_leaving(make_runner("a", born_ms=5), now_s=1.5)
+    assert available(view) == ["b"]
+    assert view.get("a").draining
+    assert view.leaving_by_response("app") == ["a"]
+    view.update([make_runner("a", born_ms=5), make_runner("b")], now_s=2.0)
+    view.update([make_runner("b")], now_s=3.0)
+    assert view.has_left("a")
+    view.update([make_runner("a", born_ms=5), make_runner("b")], now_s=4.0)
+    assert available(view) == ["b"]
+    notice = view.leaving_notice(make_runner("a", born_ms=5))
+    assert (notice.source, notice.seen_at_s) == (LeavingSource.RESPONSE, 1.0)
+    view.update([make_runner("a", born_ms=6), make_runner("b")], now_s=5.0)
+    assert available(view) == ["a", "b"]
+
+
+def test_a_late_response_of_an_earlier_incarnation_does_not_concern_the_new_one():
+    view = FleetView()
+    view.update([make_runner("a", born_ms=5)], now_s=0.0)
+    view.update([make_runner("a", born_ms=6)], now_s=1.0)
+    view.record_leaving(make_runner("a", born_ms=5), now_s=2.0)
+    assert available(view) == ["a"]
+
+
+def test_a_drained_runner_that_is_listed_again_as_ready_stays_draining():
+    """The registry's own word used to be forgotten once the entry was removed."""
+    view = FleetView()
+    view.update([make_runner("a", draining=True, born_ms=5)], now_s=0.0)
+    view.update([], now_s=1.0)
+    view.update([make_runner("a", born_ms=5)], now_s=2.0)
+    assert available(view) == []
+
+
+def test_a_reused_address_of_a_runner_that_leaves_belongs_to_the_other_one():
+    view = FleetView()
+    old, new = (make_runner(name, address="10.0.0.1:80") for name in ("a", "b"))
+    view.update([old, new], now_s=0.0)
+    view.record_leaving(old, now_s=1.0)
+    assert available(view) == ["b"]
+
+
+def test_leaving_notices_of_unregistered_runners_are_bounded():
+    view = FleetView()
+    kept = make_runner("kept")
+    view.update([kept], now_s=0.0)
+    view.record_leaving(kept, now_s=0.5)
+    for number in range(MAX_LEAVING_NOTICES + 10):
+        view.record_leaving(make_runner(f"r-{number}"), now_s=1.0)
+    view.update([kept], now_s=2.0)
+    assert available(view) == []
+    assert view.leaving_notice(make_runner("r-9")) is None
+    assert view.leaving_notice(make_runner("r-10")) is not None
+
+
+INCARNATIONS = st.builds(
+    make_runner,
+    st.sampled_from(["a", "b", "c"]),
+    born_ms=st.sampled_from([0, 1, 2]),
+    address=st.sampled_from(["10.0.0.1:80", "10.0.0.2:80"]),
+    draining=st.booleans(),
+)
+NEWS = st.lists(INCARNATIONS, max_size=4, unique_by=lambda entry: entry.instance)
+EVENTS = st.one_of(
+    st.tuples(st.just("read"), NEWS),
+    st.tuples(st.just("answer"), INCARNATIONS),
+    st.tuples(st.just("outage"), st.none()),
+    st.tuples(st.just("wait"), st.floats(0.0, 5.0)),
+)
+
+
+def newest_at_address(entries, left):
+    """Return the instances that may get requests, by the rule of reused addresses."""
+    best = {}
+    for entry in entries:
+        order = (entry.born_ms, (entry.instance, entry.born_ms) not in left)
+        known = best.get(entry.address)
+        if known is None or order > known[0]:
+            best[entry.address] = (order, entry)
+    return {
+        entry.instance
+        for _, entry in best.values()
+        if (entry.instance, entry.born_ms) not in left
+    }
+
+
+@given(events=st.lists(EVENTS, max_size=30))
+def test_an_incarnation_that_left_gets_nothing_and_all_others_do(events):
+    """Guards against any order of answers, registry news, reuse of addresses and time
+    in which a runner that leaves becomes available, or another one unavailable.
+    """
+    view, now_s, left = FleetView(), 0.0, set()
+    for kind, value in events:
+        now_s += 0.1
+        match kind:
+            case "read":
+                view.update(value, now_s=now_s)
+                left |= {(e.instance, e.born_ms) for e in value if e.draining}
+                listed = {entry.instance for entry in value}
+                assert listed <= {entry.instance for entry in view.entries}
+            case "answer":
+                known = (value.instance, value.born_ms) in left
+                assert view.record_leaving(value, now_s=now_s) is not known
+                left.add((value.instance, value.born_ms))
+            case "outage":
+                view.mark_store_unavailable(now_s=now_s)
+            case "wait":
+                now_s += value
+        for entry in view.entries:
+            assert entry.draining is ((entry.instance, entry.born_ms) in left)
+        assert set(available(view)) == newest_at_address(view.entries, left)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import struct
+from dataclasses import replace
 from urllib.parse import parse_qs, urlsplit
 
 from lacewinglug.wire.messages import Response, first_header
@@ -151,6 +152,8 @@
     ``stray``, a response to another request; or ``unsigned``, a response without a
     signature.
 
+    With ``leaving`` set each of its responses says that it leaves.
+
     :param stage: stage of an engine, None for a plain service.
     :param event_count: number of events in each stream.
     """
@@ -163,6 +166,7 @@
         self.stage = stage
         self.event_count = event_count
         self.mode = "serve"
+        self.leaving = False
         self.runs = []
         self.prefills = []
         self.released_handles = []
@@ -194,12 +198,13 @@
         path = request.target.decode()
         if path.startswith("/-/kv-handle/"):
             self.released_handles.append(path.rpartition("/")[2])
-            await exchange.respond(Response(status=200))
+            await exchange.respond(Response(status=200, headers=self.notices()))
         elif path == "/-/report":
+            report = json_response(
+                {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
+            )
             await exchange.respond(
-                json_response(
-                    {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
-                )
+                replace(report, headers=report.headers + self.notices())
             )
         elif path == "/-/kv-list":
             self.cache_list_count += 1
@@ -296,8 +301,13 @@
             (b"X-Lacewinglug-Request-Id", own_id or found or b""),
             (b"X-Lacewinglug-Response-Signature", self.instance.encode()),
             (b"X-Lacewinglug-Server-Load", b"1,0,6,100"),
+            *self.notices(),
         )
 
+    def notices(self):
+        """Return the headers with which it says what it wants of a host."""
+        return ((b"X-Lacewinglug-Server-Leaving", b"1"),) if self.leaving else ()
+
     def make_response(self, request, status, *, rejected=False, own_id=None):
         headers = self.response_headers(request, own_id)
         if rejected:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -24,6 +24,8 @@
     b"X-Lacewinglug-Request-Priority",
     b"X-Lacewinglug-Stage",
     b"Kv-Fetch",
+    b"Server-Leaving",
+    b"X-Lacewinglug-Server-Leaving",
 ]
 
 
@@ -122,15 +124,38 @@
         (b"X-Lacewinglug-Response-Signature", b"s"),
         (b"X-Lacewinglug-Server-Load", b"3,1,8,250"),
         (b"X-Lacewinglug-Not-Executed", b"1"),
+        (b"Server-Leaving", b"1"),
+        (b"X-Lacewinglug-Server-Leaving", b"1"),
         (b"X-Lacewinglug-Weight-Versions", b"1"),
         (b"Transfer-Encoding", b"chunked"),
     )
     facts = decode_response_headers(headers)
     assert (facts.request_id, facts.signed, facts.not_executed) == ("9c41", True, True)
     assert (facts.load.running, facts.load.queued, facts.load.slowdown) == (3, 1, 2.5)
-    assert encode_response_headers(headers) == (headers[0], headers[1], headers[4])
+    assert encode_response_headers(headers) == (headers[0], headers[1], headers[6])
 
 
 @pytest.mark.parametrize("load", [b"", b"3", b"a,b,c", b"3,1,8,x"])
 def test_invalid_load_header_is_ignored(load):
     assert decode_response_headers(((b"X-Lacewinglug-Server-Load", load),)).load is None
+
+
+@pytest.mark.parametrize("name", [b"Server-Leaving", b"x-lacewinglug-server-leaving"])
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [
+        ([b"1"], True),
+        ([b" 1 "], True),
+        ([b"0", b"1"], True),
+        ([b"0, 1"], True),
+        ([b"0"], False),
+        ([b""], False),
+        ([b"11"], False),
+        ([b"yes"], False),
+        ([b"\xff"], False),
+        ([], False),
+    ],
+)
+def test_a_runner_leaves_if_one_value_says_so(name, values, leaving):
+    headers = tuple((name, value) for value in values)
+    assert decode_response_headers(headers).leaving is leaving
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -196,3 +196,17 @@
     with pytest.raises(UpstreamError):
         send_request(connection)
     await asyncio.sleep(0)
+
+
+async def test_heads_of_interim_and_final_responses_are_reported():
+    hint = b"HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n"
+    heads = []
+    async with ScriptedUpstream(hint + WHOLE) as upstream:
+        connection = await connect(upstream)
+        send_request(connection)
+        response = await connection.read_response(
+            max_body_bytes=100, on_head=heads.append
+        )
+    assert (response.status, response.body) == (200, b"ok")
+    assert [head.status for head in heads] == [103, 200]
+    assert heads[0].headers == ((b"X-Hint", b"1"),)
