--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -623,7 +623,12 @@
             return refuse_as_not_run(
                 RefusalReason.QUARANTINED, retry_after_s=quarantined.retry_after_s
             )
-        return refuse_as_not_run(reason, retry_after_s=REJECTED_RETRY_AFTER_S)
+        return self.state.notices.refuse(
+            context.trace,
+            reason,
+            retry_after_s=REJECTED_RETRY_AFTER_S,
+            now_s=self.state.now_s(),
+        )
 
 
 def _add_timeout(now_s: float, timeout_s: float | None) -> float | None:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import struct
+from dataclasses import replace
 from urllib.parse import parse_qs, urlsplit
 
 from lacewinglug.wire.messages import Response, first_header
@@ -145,13 +146,16 @@
     """Fake runner of a plain service, or fake engine of one stage.
 
     ``mode`` selects the behaviour of each request: ``serve``; ``reject`` without
-    running it; ``fail`` with status 500; ``cut``, a truncated response; ``stall``, a
-    stream without events after the first; ``pause``, an answer, or a stream after its
-    first event, that comes after ``pause_s``; ``pause_first``, the same before
-    the response head; ``trickle``, the same with a byte now and
-    then; ``noise``, comments without end after the first event; ``hang``, no response;
-    ``stray``, a response to another request; or ``unsigned``, a response without a
-    signature.
+    running it; ``busy`` with status 503; ``fail`` with status 500; ``cut``, a truncated
+    response; ``stall``, a stream without events after the first; ``pause``, an answer,
+    or a stream after its first event, that comes after ``pause_s``; ``pause_first``,
+    the same before the response head; ``trickle``, the same as ``stall`` with a byte
+    now and then; ``noise``, comments without end after the first event; ``hang``, no
+    response; ``stray``, a response to another request; or ``unsigned``, a response
+    without a signature.
+
+    With ``leaving`` set each of its responses says that it leaves. ``retry_after`` is
+    the value of ``Retry-After`` in responses with status 503, None for none.
 
     :param stage: stage of an engine, None for a plain service.
     :param event_count: number of events in each stream.
@@ -166,6 +170,9 @@
         self.event_count = event_count
         self.mode = "serve"
         self.pause_s = 0.0
+        self.leaving = False
+        self.retry_after = None
+        self.received = []
         self.runs = []
         self.prefills = []
         self.released_handles = []
@@ -197,12 +204,13 @@
         path = request.target.decode()
         if path.startswith("/-/kv-handle/"):
             self.released_handles.append(path.rpartition("/")[2])
-            await exchange.respond(Response(status=200))
+            await exchange.respond(Response(status=200, headers=self.notices()))
         elif path == "/-/report":
+            report = json_response(
+                {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
+            )
             await exchange.respond(
-                json_response(
-                    {"Stage": self.stage, "Busy": False, "Sequence": len(self.orders)}
-                )
+                replace(report, headers=report.headers + self.notices())
             )
         elif path == "/-/kv-list":
             self.cache_list_count += 1
@@ -215,6 +223,7 @@
             await self.run(request, exchange)
 
     async def run(self, request, exchange):
+        self.received.append(request)
         expected = first_header(request.headers, b"x-lacewinglug-expect-instance")
         if expected != self.instance.encode():
             await exchange.respond(self.make_response(request, 421, rejected=True))
@@ -251,6 +260,8 @@
         match self.mode:
             case "hang":
                 await asyncio.sleep(600)
+            case "busy":
+                await exchange.respond(self.make_response(request, 503))
             case "fail":
                 await exchange.respond(self.make_response(request, 500))
             case "pause" if self.stage is None:
@@ -306,12 +317,19 @@
             (b"X-Lacewinglug-Request-Id", own_id or found or b""),
             (b"X-Lacewinglug-Response-Signature", self.instance.encode()),
             (b"X-Lacewinglug-Server-Load", b"1,0,6,100"),
+            *self.notices(),
         )
 
+    def notices(self):
+        """Return the headers with which it says what it wants of a host."""
+        return ((b"X-Lacewinglug-Server-Leaving", b"1"),) if self.leaving else ()
+
     def make_response(self, request, status, *, rejected=False, own_id=None):
         headers = self.response_headers(request, own_id)
         if rejected:
             headers += ((b"X-Lacewinglug-Not-Executed", b"1"),)
+        if status == 503 and self.retry_after is not None:
+            headers += ((b"Retry-After", self.retry_after),)
         return Response(status=status, headers=headers, body=b"done")
 
 
