--- a/tests/platform/scene.py
+++ b/tests/platform/scene.py
@@ -12,6 +12,9 @@
 
 _testbed_numbers = itertools.count(1)
 REQUEST_IDS = itertools.count(1)
+FIRST_PORT = 20_000
+PORT_COUNT = 12_000
+_port_numbers = itertools.count(1009 * os.getpid())  # apart from parallel workers
 LIMITS = {
     "MaxHeaderBytes": 16384,
     "MaxBodyBytes": 100_000,
@@ -71,15 +74,17 @@
 
 
 def free_ports(ip, count):
-    """Return ports that are currently free on an address."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((ip, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that are currently free on an address.
+
+    The kernel takes no port of this range for an outgoing connection or port 0, so
+    they stay free until a host listens there.
+    """
+    ports = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((ip, port))
+            ports.append(port)
     return ports
 
 
