Keep silent engines open while a crash is examined

What callers saw: a stream was cut although its first engine, which had been silent for about a second, went on.

Cause: the host sent the request to a second engine, whose connection ended within the overlap limit of 0.3 s. The check whether that engine had crashed takes up to 0.35 s, and the timer of the limit ran on meanwhile and closed the silent engine, the only one that had the request.

Change: the limit is lifted before the check.

Measured: test_a_silent_engine_stays_open_while_a_crash_is_examined failed with (b'id: 1\ndata: w1\n\n', False) instead of the complete stream; now it passes.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -390,6 +390,8 @@
             attempt.health.record_incomplete(silent=silent, now_s=self.state.now_s())
             if isinstance(error, UpstreamError) and self._is_beginning(attempt):
                 attempt.close()
+                # Only silent engines run the request during the check.
+                progress.lift_overlap_limit()
                 await self._crash_monitor.examine_loss(context, attempt.entry)
             return _AttemptFailed(reason=str(error) or "silent", silent=silent)
         finally:
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
-from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR
+from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR, MAX_OVERLAP_S
 from tests.host.hosting import running_host
 from tests.platform.scene import (
     HostTestbed,
@@ -258,6 +258,26 @@
         assert len(broken.runs) == 1
 
 
+class LateCut(FakeRunner):
+    """Breaks off without an answer shortly before the overlap limit."""
+
+    async def stream(self, request, exchange):
+        await asyncio.sleep(0.9 * MAX_OVERLAP_S)
+        exchange.abort()
+
+
+# Guards against a stream that is cut since the overlap limit closed its only engine.
+async def test_a_silent_engine_stays_open_while_a_crash_is_examined():
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.6
+    other = LateCut("runner-2", "llm", stage="decode", zone="qc-a")
+    async with running_scene(prefiller, silent, other) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(other.runs) == 1
+        assert silent.cancelled_count == 0
+
+
 # Guards against a request that two engines run at the same time.
 async def test_a_silent_engine_is_given_up_soon_after_another_one_has_the_request():
     prefiller, silent = make_engines()
