Leave nothing behind if sending a stream fails unexpectedly

What callers saw: after an unexpected error on sending a stream, the host counted the stream at its engine for ever, kept the connection open, and kept the prompt in its estimate of the engine's work. Later prompts were placed elsewhere or refused with NO_TIME.

Cause: only an UpstreamError closed the attempt, and the prompt was withdrawn from the backlog only after a regular result, for prefill on a separate engine as well. A client that left during the attempt skipped the withdrawal, too.

Change: any exception closes the attempt and withdraws the prompt.

Measured: 4 of the 8 cases of test_an_unexpected_error_on_sending_leaves_nothing_behind failed, with outstanding counts [0, 3] and [0, 0, 1] instead of zeros for send, and no removed prompt of 3 added ones for connect; now all 8 pass.

--- a/lacewinglug/host/prefills.py
+++ b/lacewinglug/host/prefills.py
@@ -73,6 +73,9 @@
             context.tried_instances.add(engine.entry.instance)
             engine.withdraw(number, now_s=self.state.now_s())
             return None
+        except BaseException:
+            engine.withdraw(number, now_s=self.state.now_s())
+            raise
         finally:
             attempt.close()
         answer = (
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -282,13 +282,16 @@
                 )
                 fetch_from = plan.prefill.fetch_from
                 address = None if fetch_from is None else fetch_from.entry.address
-                result = await self._stream_from_engine(
-                    context, progress, plan, exchange, fetch_from=address
-                )
-                if not isinstance(result, _Completed):
-                    plan.decode_engine.withdraw(
-                        progress.backlog_number, now_s=self.state.now_s()
+                result: _Completed | _AttemptFailed | Response | None = None
+                try:
+                    result = await self._stream_from_engine(
+                        context, progress, plan, exchange, fetch_from=address
                     )
+                finally:
+                    if not isinstance(result, _Completed):
+                        plan.decode_engine.withdraw(
+                            progress.backlog_number, now_s=self.state.now_s()
+                        )
                 return result
 
     async def _decode_from_handle(
@@ -362,6 +365,9 @@
             attempt.close()
             progress.connect_failures += 1
             return _AttemptFailed(reason=error.reason)
+        except BaseException:
+            attempt.close()
+            raise
         context.attempt_count += 1
         context.lifecycle.apply("send")
         progress.limit_overlap()
--- a/tests/host/test_dispatch.py
+++ b/tests/host/test_dispatch.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lacewinglug.host import calls, streams
+from lacewinglug.host import calls, context, streams
+from lacewinglug.host.backlog import PrefillBacklog
 from lacewinglug.host.peers import MIN_BATCH_INTERVAL_S
 from lacewinglug.host.routes import RouteTable
 from tests.host.test_relay import make_app_runner, make_engines, running_scene
@@ -58,6 +59,46 @@
     assert (answer.status, answer.complete) == (502, True)
 
 
+# Guards against connections, and work of engines, that are counted for ever.
+@pytest.mark.parametrize("path", ["/unlock/7", "/ask/1"])
+@pytest.mark.parametrize("method", ["connect", "send"])
+@pytest.mark.parametrize("with_prefill_engine", [True, False])
+async def test_an_unexpected_error_on_sending_leaves_nothing_behind(
+    path, method, with_prefill_engine, monkeypatch
+):
+    added, removed = [], []
+    original_add, original_remove = PrefillBacklog.add, PrefillBacklog.remove
+
+    def add(backlog, *args, **fields):
+        number = original_add(backlog, *args, **fields)
+        added.append(number)
+        return number
+
+    def remove(backlog, number, **fields):
+        removed.append(number)
+        original_remove(backlog, number, **fields)
+
+    engines = make_engines() if with_prefill_engine else make_engines()[1:]
+    async with running_scene(make_app_runner(), *engines) as scene:
+        upstreams = scene.process.state.upstreams
+        instances = [entry.instance for entry in scene.process.state.fleet.entries]
+        with monkeypatch.context() as patch:
+            patch.setattr(context.Attempt, method, _fail)
+            patch.setattr(PrefillBacklog, "add", add)
+            patch.setattr(PrefillBacklog, "remove", remove)
+            for _ in range(3):
+                answer = await scene.send_request(path)
+                assert (answer.status, answer.complete) == (503, True)
+        assert [upstreams.health(name).outstanding for name in instances] == [
+            0 for _ in instances
+        ]
+        for name in instances:
+            counts = upstreams.count_connections(name)
+            assert counts.open == counts.idle
+    assert len(added) == (3 if path == "/ask/1" else 0)
+    assert removed == added
+
+
 async def test_an_unexpected_error_within_a_stream_cuts_it(monkeypatch):
     async with running_scene(*make_engines()) as scene:
         monkeypatch.setattr(streams.StreamRelay, "_gap_timeout_s", _fail)
