Wait for silent runners, and refuse truthfully, at every end of a safe call

What callers saw: a safe call that a silent runner had was refused with 503, which promises that it has not run, when the other runners drained; or with 502, when three of them could not be reached. A call that was lost got 503 if no runner was left. A client that trusted the 503 could run the call twice.

Cause: two of the three ends of the loop over the runners returned at once, and the one without runners did not ask the lifecycle of the request.

Change: all three ends wait for the silent runners, then return a runner's error, then a refusal for which the lifecycle is asked. Its Retry-After without runners is unchanged.

Measured: before the change, test_a_safe_call_waits_for_a_silent_runner_that_drains got 503 instead of 200, test_a_safe_call_waits_for_a_silent_runner_if_no_other_one_is_reached got 502 instead of 200, and test_a_lost_safe_call_is_not_refused_as_not_run_without_runners got 503 instead of 502; now all pass.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -3,7 +3,12 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
+from lacewinglug.host.answers import (
+    NO_RUNNER_RETRY_AFTER_S,
+    Refusal,
+    RefusalReason,
+    refuse_as_not_run,
+)
 from lacewinglug.host.context import (
     Attempt,
     HostState,
@@ -97,19 +102,20 @@
         :param silent: collects the open attempts whose runners did not answer in time.
         """
         failure: Response | None = None
+        reason = RefusalReason.REJECTED
         unreached = 0
         while True:
             entry = self._choose_runner(context)
             if entry is None:
-                return failure or refuse_as_not_run(RefusalReason.NO_RUNNER)
+                reason = RefusalReason.NO_RUNNER
+                break
             outcome = await self._attempt(context, entry, silent)
             match outcome:
                 case Unreached():
                     unreached += 1
                     if unreached >= MAX_CONNECT_ATTEMPTS:
-                        return failure or self._make_refusal(
-                            context, RefusalReason.UNREACHABLE
-                        )
+                        reason = RefusalReason.UNREACHABLE
+                        break
                     continue
                 case Answered(response=response):
                     failed = response.status >= _MIN_SERVER_ERROR
@@ -124,11 +130,12 @@
                 case Lost():
                     pass
             if not self._may_retry(context):
-                return (
-                    await self._wait_for_silent(context, silent)
-                    or failure
-                    or self._make_refusal(context, RefusalReason.REJECTED)
-                )
+                break
+        return (
+            await self._wait_for_silent(context, silent)
+            or failure
+            or self._make_refusal(context, reason)
+        )
 
     async def _wait_for_silent(
         self, context: RequestContext, silent: list[Attempt]
@@ -278,9 +285,11 @@
         )
 
     def _make_refusal(self, context: RequestContext, reason: RefusalReason) -> Refusal:
-        if context.lifecycle.not_executed:
-            return refuse_as_not_run(reason, retry_after_s=REJECTED_RETRY_AFTER_S)
-        return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
+        if not context.lifecycle.not_executed:
+            return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
+        if reason is RefusalReason.NO_RUNNER:
+            return refuse_as_not_run(reason, retry_after_s=NO_RUNNER_RETRY_AFTER_S)
+        return refuse_as_not_run(reason, retry_after_s=REJECTED_RETRY_AFTER_S)
 
 
 def describe_outcome(outcome: Outcome) -> str:
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -120,6 +120,52 @@
         assert silent.cancelled_count == 0
 
 
+# Guards against a refusal as not run of a call that a silent runner has.
+async def test_a_safe_call_waits_for_a_silent_runner_that_drains():
+    one, two = make_app_runner("app-1"), make_app_runner("app-2")
+    one.mode = two.mode = "pause"
+    one.pause_s = two.pause_s = 1.0
+    async with running_scene(one, two) as scene:
+        fleet = scene.process.state.fleet
+        ready = fleet.ready
+        fleet.ready = lambda name: [] if one.runs or two.runs else ready(name)
+        answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (200, b"done")
+        assert len(one.runs) + len(two.runs) == 1
+        assert one.cancelled_count == two.cancelled_count == 0
+
+
+# Guards against a call that is given up although a silent runner answers in time.
+async def test_a_safe_call_waits_for_a_silent_runner_if_no_other_one_is_reached():
+    runners = [make_app_runner(f"app-{number}") for number in range(5)]
+    for runner in runners:
+        runner.mode, runner.pause_s = "pause", 0.8
+    async with running_scene(*runners) as scene:
+        request = asyncio.create_task(
+            scene.send_request("/status/", method="GET", body=b"")
+        )
+        while not any(runner.runs for runner in runners):
+            await asyncio.sleep(0.01)
+        for runner in runners:
+            if not runner.runs:
+                runner.close()
+        answer = await request
+        assert (answer.status, answer.body) == (200, b"done")
+        assert sum(len(runner.runs) for runner in runners) == 1
+
+
+# Guards against a refusal as not run of a call that its runner has run.
+async def test_a_lost_safe_call_is_not_refused_as_not_run_without_runners():
+    runner = make_app_runner()
+    runner.mode = "cut"
+    async with running_scene(runner) as scene:
+        fleet = scene.process.state.fleet
+        fleet.ready = lambda service: [] if runner.runs else [fleet.get("app-1")]
+        answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert answer.status == 502
+        assert len(runner.runs) == 1
+
+
 async def test_a_safe_call_returns_a_runners_error_if_all_attempts_fail():
     bad, worse = make_app_runner("app-1"), make_app_runner("app-2")
     bad.mode = worse.mode = "fail"
