Do not send a safe call to a silent runner again

What callers saw: a runner that was slow to answer a safe call ran it twice at the same time if the other runners could not be reached, which made it slower.

Cause: the choice of a runner falls back to those that were tried, and the silent one was sound.

Change: runners with an open attempt are no candidates. If there are no others, the call waits for them.

Measured: test_a_safe_call_is_not_sent_again_to_a_silent_runner failed with 2 runs instead of 1; now it passes.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -1,6 +1,7 @@
 """Relays plain calls; a response is read completely before any of it is sent."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from lacewinglug.host.answers import (
@@ -105,7 +106,7 @@
         reason = RefusalReason.REJECTED
         unreached = 0
         while True:
-            entry = self._choose_runner(context)
+            entry = self._choose_runner(context, silent)
             if entry is None:
                 reason = RefusalReason.NO_RUNNER
                 break
@@ -160,10 +161,18 @@
                     context.lifecycle.apply("lose")
         return None
 
-    def _choose_runner(self, context: RequestContext) -> RunnerEntry | None:
+    def _choose_runner(
+        self, context: RequestContext, silent: Sequence[Attempt]
+    ) -> RunnerEntry | None:
+        """Return the runner for the next attempt, None if there is none.
+
+        A silent runner still has the call, and would run it twice.
+        """
         now_s = self.state.now_s()
+        busy = {attempt.entry.instance for attempt in silent}
+        ready = self.state.fleet.ready(context.service.name)
         choice = choose_plain_runner(
-            self.state.fleet.ready(context.service.name),
+            [entry for entry in ready if entry.instance not in busy],
             health=self.state.upstreams.health,
             geography=self.state.geography,
             zone=self.state.settings.zone,
@@ -177,7 +186,7 @@
             now_s=now_s,
             runner=choice.entry.instance,
             expected_ms=round(choice.cost_s * 1000),
-            runners=len(self.state.fleet.ready(context.service.name)),
+            runners=len(ready),
         )
         return choice.entry
 
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -154,6 +154,19 @@
         assert sum(len(runner.runs) for runner in runners) == 1
 
 
+# Guards against a call that one runner runs twice at the same time.
+async def test_a_safe_call_is_not_sent_again_to_a_silent_runner():
+    silent, other = make_app_runner("app-1"), make_app_runner("app-2")
+    silent.mode, silent.pause_s = "pause", 0.8
+    async with running_scene(silent, other) as scene:
+        other.close()
+        for _ in range(3):
+            run_count = len(silent.runs)
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+            assert (answer.status, answer.body) == (200, b"done")
+            assert len(silent.runs) == run_count + 1
+
+
 # Guards against a refusal as not run of a call that its runner has run.
 async def test_a_lost_safe_call_is_not_refused_as_not_run_without_runners():
     runner = make_app_runner()
