Take a silent runner's answer while the last attempt hangs

What callers saw: a safe call got 504 although a runner had answered it in time.

Cause: the last attempt of a call has no timeout of its own, and while the host waited for it, nothing read the answers of runners that had been silent before. Likewise, a runner that stopped within its response kept the host from reading the others.

Change: the last attempt is waited for together with the silent ones, each is read to its end by a task of its own, and the first complete usable answer is returned. The others are closed.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -1,7 +1,7 @@
 """Relays plain calls; a response is read completely before any of it is sent."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
 
 from lacewinglug.host.answers import (
@@ -10,12 +10,7 @@
     RefusalReason,
     refuse_as_not_run,
 )
-from lacewinglug.host.context import (
-    Attempt,
-    HostState,
-    RequestContext,
-    wait_for_any,
-)
+from lacewinglug.host.context import Attempt, HostState, RequestContext
 from lacewinglug.host.crashes import CrashMonitor
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.plain import choose_plain_runner
@@ -70,7 +65,12 @@
     silent: bool = False
 
 
-Outcome = Answered | NotExecuted | Unreached | Lost
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pending:
+    """No attempt can follow, and silent runners may answer before this one."""
+
+
+Outcome = Answered | NotExecuted | Unreached | Lost | Pending
 
 
 @dataclass(kw_only=True)
@@ -100,7 +100,8 @@
     ) -> Response | Refusal:
         """Send the call to one runner after another.
 
-        :param silent: collects the open attempts whose runners did not answer in time.
+        :param silent: collects the open attempts whose runners did not answer in time,
+            and the last attempt beside them.
         """
         failure: Response | None = None
         reason = RefusalReason.REJECTED
@@ -126,6 +127,8 @@
                     if not context.lifecycle.idempotent:
                         return response
                     context.lifecycle.apply("lose")
+                case Pending():
+                    break
                 case NotExecuted():
                     pass
                 case Lost():
@@ -141,24 +144,37 @@
     async def _wait_for_silent(
         self, context: RequestContext, silent: list[Attempt]
     ) -> Response | None:
-        """Return the response of a runner that was silent, None if there is none.
+        """Return the first response of the runners with an open attempt.
 
-        The call is not sent again, but these runners may still answer.
+        The call is not sent again, but these runners may still answer. None if there
+        is no response, or only errors.
         """
-        while silent:
-            attempt = await wait_for_any(silent)
-            silent.remove(attempt)
-            context.lifecycle.apply("wait")
-            try:
-                outcome = await self._receive(context, attempt, timeout_s=None)
-            finally:
-                attempt.close()
-            self._record_outcome(context, attempt, outcome)
-            match outcome:
-                case Answered(response=response):
-                    if response.status < _MIN_SERVER_ERROR:
-                        return response
-                    context.lifecycle.apply("lose")
+        reads = {
+            asyncio.create_task(_read_response(attempt)): attempt for attempt in silent
+        }
+        try:
+            while reads:
+                done, _ = await asyncio.wait(reads, return_when=asyncio.FIRST_COMPLETED)
+                read = done.pop()
+                attempt = reads.pop(read)
+                context.lifecycle.apply("wait")
+                try:
+                    outcome = await self._receive(
+                        context, attempt, read, timeout_s=None
+                    )
+                finally:
+                    silent.remove(attempt)
+                    attempt.close()
+                self._record_outcome(context, attempt, outcome)
+                match outcome:
+                    case Answered(response=response):
+                        if response.status < _MIN_SERVER_ERROR:
+                            return response
+                        context.lifecycle.apply("lose")
+        finally:
+            for read in reads:
+                read.cancel()
+            await asyncio.gather(*reads, return_exceptions=True)
         return None
 
     def _choose_runner(
@@ -197,13 +213,14 @@
         attempt = Attempt(state=self.state, context=context, entry=entry)
         outcome: Outcome | None = None
         try:
-            outcome = await self._exchange(context, attempt)
+            outcome = await self._exchange(context, attempt, silent)
         finally:
-            if isinstance(outcome, Lost) and outcome.silent:
+            if _is_open(outcome):
                 silent.append(attempt)
             else:
                 attempt.close()
-        self._record_outcome(context, attempt, outcome)
+        if not isinstance(outcome, Pending):
+            self._record_outcome(context, attempt, outcome)
         return outcome
 
     def _record_outcome(
@@ -217,7 +234,9 @@
         if not isinstance(outcome, Unreached):
             attempt.health.record_result(failed=_is_failure(outcome), now_s=now_s)
 
-    async def _exchange(self, context: RequestContext, attempt: Attempt) -> Outcome:
+    async def _exchange(
+        self, context: RequestContext, attempt: Attempt, silent: Sequence[Attempt]
+    ) -> Outcome:
         try:
             await attempt.connect()
             attempt.send(
@@ -228,17 +247,24 @@
         context.attempt_count += 1
         context.lifecycle.apply("send")
         timeout_s = self._attempt_timeout_s(context)
-        return await self._receive(context, attempt, timeout_s=timeout_s)
+        if silent and timeout_s is None:
+            context.lifecycle.apply("lose")
+            return Pending()
+        return await self._receive(
+            context, attempt, _read_response(attempt), timeout_s=timeout_s
+        )
 
     async def _receive(
-        self, context: RequestContext, attempt: Attempt, *, timeout_s: float | None
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        read: Awaitable[Response],
+        *,
+        timeout_s: float | None,
     ) -> Outcome:
         try:
             async with asyncio.timeout(timeout_s):
-                head = await attempt.read_head()
-                response = await attempt.read_response(
-                    head, max_bytes=MAX_RESPONSE_BYTES
-                )
+                response = await read
         except TimeoutError:
             context.lifecycle.apply("lose")
             return Lost(reason="no answer in time", silent=True)
@@ -312,6 +338,24 @@
             return "unreached"
         case Lost(reason=reason):
             return f"lost: {reason}"
+        case Pending():
+            return "pending"
+
+
+async def _read_response(attempt: Attempt) -> Response:
+    """Read the complete response to an attempt."""
+    head = await attempt.read_head()
+    return await attempt.read_response(head, max_bytes=MAX_RESPONSE_BYTES)
+
+
+def _is_open(outcome: Outcome | None) -> bool:
+    match outcome:
+        case Lost(silent=silent):
+            return silent
+        case Pending():
+            return True
+        case _:
+            return False
 
 
 def _is_failure(outcome: Outcome) -> bool:
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -154,6 +154,32 @@
         assert sum(len(runner.runs) for runner in runners) == 1
 
 
+class SlowBody(FakeRunner):
+    """Pauses before the response, and for ever within it."""
+
+    async def serve(self, request, exchange):
+        await asyncio.sleep(0.5)
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"do")
+        await asyncio.sleep(600)
+
+
+# Guards against a call that expires although a silent runner has answered it.
+@pytest.mark.parametrize("kind", [FakeRunner, SlowBody])
+async def test_a_safe_call_takes_a_silent_runners_answer_while_the_last_one_hangs(kind):
+    silent, other = make_app_runner("app-1"), kind("app-2", "app")
+    silent.mode, silent.pause_s = "pause", 0.8
+    other.mode = "hang"
+    async with running_scene(silent, other) as scene:
+        for _ in range(4):
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+            assert (answer.status, answer.body) == (200, b"done")
+            upstreams = scene.process.state.upstreams
+            for name in ("app-1", "app-2"):
+                assert upstreams.health(name).outstanding == 0
+        assert other.runs
+
+
 # Guards against a call that one runner runs twice at the same time.
 async def test_a_safe_call_is_not_sent_again_to_a_silent_runner():
     silent, other = make_app_runner("app-1"), make_app_runner("app-2")
