Return the error of a silent runner if no other one answers

What callers saw: 502 of the host, though a runner had answered 500.

Cause: errors of runners that had been silent before were dropped.

Change: the last such error is returned if no runner answers.

Measured: test_a_safe_call_returns_a_silent_runners_error_if_no_other_one_answers failed with 502 instead of 500; now it passes.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -146,9 +146,10 @@
     ) -> Response | None:
         """Return the first response of the runners with an open attempt.
 
-        The call is not sent again, but these runners may still answer. None if there
-        is no response, or only errors.
+        The call is not sent again, but these runners may still answer. An error of a
+        runner is returned only if no other one answers, None if nothing is received.
         """
+        failure: Response | None = None
         reads = {
             asyncio.create_task(_read_response(attempt)): attempt for attempt in silent
         }
@@ -170,12 +171,13 @@
                     case Answered(response=response):
                         if response.status < _MIN_SERVER_ERROR:
                             return response
+                        failure = response
                         context.lifecycle.apply("lose")
         finally:
             for read in reads:
                 read.cancel()
             await asyncio.gather(*reads, return_exceptions=True)
-        return None
+        return failure
 
     def _choose_runner(
         self, context: RequestContext, silent: Sequence[Attempt]
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -180,6 +180,21 @@
         assert other.runs
 
 
+# Guards against an error of a runner that is replaced by a refusal of the host.
+async def test_a_safe_call_returns_a_silent_runners_error_if_no_other_one_answers():
+    class LateError(FakeRunner):
+        async def serve(self, request, exchange):
+            await asyncio.sleep(0.6)
+            await exchange.respond(self.make_response(request, 500))
+
+    late, other = LateError("app-1", "app"), make_app_runner("app-2")
+    other.mode = "reject"
+    async with running_scene(late, other) as scene:
+        while not late.runs:
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (500, b"done")
+
+
 # Guards against a call that one runner runs twice at the same time.
 async def test_a_safe_call_is_not_sent_again_to_a_silent_runner():
     silent, other = make_app_runner("app-1"), make_app_runner("app-2")
