Give silent engines up for events only, not for comments

What callers saw: a stream was cut although its first engine went on after a second of silence.

Cause: any bytes of the next engine, such as a comment, closed the silent one; then that engine broke off. Before the first event, a comment was also taken for it.

Change: silent engines are closed by progress only, which is an event with an id or, while no id was seen, an event with data.

Measured: both cases of test_a_comment_of_the_next_engine_does_not_give_up_a_silent_one failed with an incomplete stream (b'id: 1\ndata: w1\n\n: ping\n\n' and b': ping\n\n'); now they pass.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -1,6 +1,7 @@
 """Relays server-sent event streams of model services to clients."""
 
 import asyncio
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -52,6 +53,7 @@
 _SERVER_ERROR = 500
 _OK = 200
 _DEFAULT_TARGET_GAP_S = 0.5
+_DATA_LINE = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
 
 
 @dataclass(kw_only=True)
@@ -460,9 +462,13 @@
                 continue
             # Only events with an id show that the engine makes progress, unless it
             # numbers none of them. Other bytes may come without end.
-            progresses = progress.last_event_id is None or any(
-                event.event_id is not None for event in events
+            progresses = any(
+                event.event_id is not None
+                or (progress.last_event_id is None and _has_data(event))
+                for event in events
             )
+            if progresses:
+                progress.close_silent()
             if progresses and attempt.first_event_s is None:
                 self._record_first_event(context, progress, plan, attempt)
             began = attempt.first_event_s is not None
@@ -494,7 +500,6 @@
         events: Sequence[Event],
     ) -> None:
         """Write events to the client, after the response head for the first ones."""
-        progress.close_silent()
         if not progress.head_sent:
             await exchange.start_response(_OK, encode_response_headers(headers))
             progress.head_sent = True
@@ -637,6 +642,11 @@
     return None if timeout_s is None else now_s + timeout_s
 
 
+def _has_data(event: Event) -> bool:
+    """Return whether an event is more than a comment."""
+    return _DATA_LINE.search(event.data) is not None
+
+
 def _undelivered(events: Sequence[Event], last_event_id: int | None) -> list[Event]:
     """Return the events that the client has not received yet."""
     return [
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -378,6 +378,39 @@
         assert silent.cancelled_count == 0
 
 
+class CommentThenCut(FakeRunner):
+    """Sends a comment at once, then breaks off."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b": ping\n\n")
+        await asyncio.sleep(0.05)
+        exchange.abort()
+
+
+# Guards against a sound engine that is given up for one that only sends comments.
+@pytest.mark.parametrize(
+    ("mode", "silence_s"),
+    [("pause", GAP_TIMEOUT_S), ("pause_first", MIN_FIRST_EVENT_TIMEOUT_S)],
+)
+async def test_a_comment_of_the_next_engine_does_not_give_up_a_silent_one(
+    mode, silence_s
+):
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = mode, silence_s + 0.8
+    other = CommentThenCut("runner-2", "llm", stage="decode", zone="qc-a")
+    routes = [make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=8000)]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(
+        prefiller, silent, other, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="8000")
+        assert answer.complete
+        assert answer.body.replace(b": ping\n\n", b"") == STREAM
+        assert len(other.runs) == 1
+        assert silent.cancelled_count == 0
+
+
 # Guards against a request that two engines run at the same time.
 async def test_a_silent_engine_is_given_up_soon_after_another_one_has_the_request():
     prefiller, silent = make_engines()
