Free the KV cache of a silent engine that is given up

What callers saw: prefill engines kept KV caches that nobody would fetch until their handles expired, which left less room for other prompts.

Cause: the handle of a silent engine was left alone, since that engine may still fetch it, and nothing freed it once the engine was given up.

Change: the silent attempt knows how to free the handle, and does so if it is closed or fails before its first event.

Measured: both cases of test_the_kv_cache_of_a_silent_engine_is_freed_when_it_is_given_up waited for the release in vain and failed by their timeout of 40 s; now they pass.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import (
@@ -102,7 +103,7 @@
         """Close the attempts whose engines fell silent."""
         self.lift_overlap_limit()
         while self.silent:
-            self.silent.pop().attempt.close()
+            self.silent.pop().give_up()
 
 
 @dataclass(kw_only=True)
@@ -112,11 +113,20 @@
     :param attempt: the attempt, still open.
     :param plan: its plan.
     :param backlog_number: number of the prompt in the backlog of its engine.
+    :param free_handle: frees the KV cache that its engine fetches, None if it
+        fetches none.
     """
 
     attempt: Attempt
     plan: PromptPlan
     backlog_number: int | None
+    free_handle: Callable[[], None] | None = None
+
+    def give_up(self) -> None:
+        """Close the attempt, and free a KV cache that was not fetched."""
+        self.attempt.close()
+        if self.free_handle is not None and self.attempt.first_event_s is None:
+            self.free_handle()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -224,9 +234,12 @@
                 now_s=self.state.now_s(),
                 runner=silent.attempt.entry.instance,
             )
-            result = await self._relay_attempt(
-                context, progress, silent.plan, exchange, silent.attempt
-            )
+            try:
+                result = await self._relay_attempt(
+                    context, progress, silent.plan, exchange, silent.attempt
+                )
+            finally:
+                silent.give_up()
             self._trace_result(context, progress, result)
             match result:
                 case _Completed():
@@ -306,7 +319,7 @@
     ) -> _Completed | _AttemptFailed | Response:
         """Run decode of a prompt whose KV cache is held under a handle.
 
-        The handle is freed unless the stream was relayed to its end.
+        The handle is freed unless the stream was relayed to its end, or may yet be.
         """
         source = f"{plan.prefill.engine.entry.address}/{handle}"
         result: _Completed | _AttemptFailed | Response | None = None
@@ -325,11 +338,17 @@
             )
         finally:
             if not isinstance(result, _Completed):
-                # An engine that is only silent may still be fetching the KV cache.
-                if not (isinstance(result, _AttemptFailed) and result.silent):
-                    self.prefill_client.free_handle(
-                        context, plan.prefill.engine, handle
-                    )
+                free_handle = partial(
+                    self.prefill_client.free_handle,
+                    context,
+                    plan.prefill.engine,
+                    handle,
+                )
+                if isinstance(result, _AttemptFailed) and result.silent:
+                    # The engine may still be fetching the KV cache.
+                    progress.silent[-1].free_handle = free_handle
+                else:
+                    free_handle()
                 progress.separate_prefill_failed = True
         return result
 
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -469,6 +469,26 @@
     assert prefiller.released_handles == ["h1"]
 
 
+# Guards against a KV cache that is kept after its silent engine was given up.
+@pytest.mark.parametrize("next_mode", ["serve", "reject"])
+async def test_the_kv_cache_of_a_silent_engine_is_freed_when_it_is_given_up(next_mode):
+    prefiller, silent = make_engines()
+    silent.mode = "hang"
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    other.mode = next_mode
+    routes = [make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=4000)]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(
+        prefiller, silent, other, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="4000")
+        assert answer.status == (200 if next_mode == "serve" else 504)
+        assert len(prefiller.prefills) == len(silent.runs) == 1
+        while not prefiller.released_handles:
+            await asyncio.sleep(0.01)
+        assert prefiller.released_handles == ["h1"]
+
+
 async def test_a_draining_runner_gets_no_new_work():
     leaving, staying = make_app_runner("app-1"), make_app_runner("app-2")
     async with running_scene(leaving, staying) as scene:
