Do not send events without an id twice

What callers saw: the client of a resumable stream whose engine numbers no events got those before an interruption twice.

Cause: the host sent the request to another engine without a Last-Event-ID, as it knew none, and that engine began anew.

Change: once an event without an id was sent and no id is known, the stream is not sent again: a pause is waited out, and a lost engine cuts the stream.

Measured: both cases of test_events_without_an_id_are_not_sent_twice failed, with b'data: w1\n\ndata: w1\n\n' and with an incomplete stream after a pause; now they pass.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -64,6 +64,7 @@
     :param last_event_id: id of the last event the client received, None before the
         first.
     :param head_sent: whether the response head was sent to the client.
+    :param unnumbered_sent: whether events without an id were sent to the client.
     :param failure_response: error response of a runner, returned if all other
         attempts fail.
     :param connect_failures: runners that could not be connected to.
@@ -77,6 +78,7 @@
 
     last_event_id: int | None = None
     head_sent: bool = False
+    unnumbered_sent: bool = False
     failure_response: Response | None = None
     connect_failures: int = 0
     separate_prefill_failed: bool = False
@@ -86,6 +88,11 @@
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another engine would not repeat what was sent to the client."""
+        return self.last_event_id is not None or not self.unnumbered_sent
+
     def limit_overlap(self) -> None:
         """Close silent attempts soon, since the request was sent to another engine."""
         self.lift_overlap_limit()
@@ -526,6 +533,8 @@
         for event in events:
             if event.event_id is not None:
                 progress.last_event_id = event.event_id
+            elif _has_data(event):
+                progress.unnumbered_sent = True
         data = b"".join(event.data for event in events)
         if data:
             await exchange.write(data)
@@ -616,6 +625,7 @@
     ) -> bool:
         return (
             progress.may_fail_over
+            and progress.may_resume
             and context.lifecycle.idempotent
             and context.attempt_count < context.route.max_attempts
         )
@@ -624,6 +634,8 @@
         now_s = self.state.now_s()
         if not context.lifecycle.may_send or context.remaining_s(now_s) <= 0:
             return False
+        if not progress.may_resume:
+            return False
         if context.crashed_engine and not progress.head_sent:
             return False
         if self.state.find_quarantined(context) is not None:
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -447,6 +447,36 @@
             await asyncio.sleep(0.01)
 
 
+class Unnumbered(FakeRunner):
+    """Sends events without an id, and pauses or breaks off after the first."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"data: w1\n\n")
+        await asyncio.sleep(self.pause_s)
+        if self.mode == "cut":
+            exchange.abort()
+            return
+        await exchange.write(b"data: w2\n\n")
+        await exchange.finish()
+
+
+# Guards against events that the client gets twice, as it can't tell them by an id.
+@pytest.mark.parametrize(("mode", "complete"), [("cut", False), ("pause", True)])
+async def test_events_without_an_id_are_not_sent_twice(mode, complete):
+    engines = [
+        Unnumbered(f"runner-{number}", "llm", stage="decode") for number in (1, 2)
+    ]
+    for engine in engines:
+        engine.mode = mode
+        engine.pause_s = 0.1 if mode == "cut" else GAP_TIMEOUT_S + 0.4
+    async with running_scene(*engines) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.status, answer.complete) == (200, complete)
+        assert answer.body == b"data: w1\n\n" + b"data: w2\n\n" * complete
+        assert sum(len(engine.runs) for engine in engines) == 1
+
+
 async def test_an_interrupted_stream_that_is_not_resumable_ends_incomplete():
     prefiller, broken = make_engines()
     broken.mode = "cut"
