--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -1,8 +1,10 @@
 """Relays server-sent event streams of model services to clients."""
 
 import asyncio
-from collections.abc import Sequence
+import re
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import (
@@ -52,6 +54,7 @@
 _SERVER_ERROR = 500
 _OK = 200
 _DEFAULT_TARGET_GAP_S = 0.5
+_DATA_LINE = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
 
 
 @dataclass(kw_only=True)
@@ -61,6 +64,7 @@
     :param last_event_id: id of the last event the client received, None before the
         first.
     :param head_sent: whether the response head was sent to the client.
+    :param unnumbered_sent: whether events without an id were sent to the client.
     :param failure_response: error response of a runner, returned if all other
         attempts fail.
     :param connect_failures: runners that could not be connected to.
@@ -74,6 +78,7 @@
 
     last_event_id: int | None = None
     head_sent: bool = False
+    unnumbered_sent: bool = False
     failure_response: Response | None = None
     connect_failures: int = 0
     separate_prefill_failed: bool = False
@@ -83,6 +88,11 @@
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another engine would not repeat what was sent to the client."""
+        return self.last_event_id is not None or not self.unnumbered_sent
+
     def limit_overlap(self) -> None:
         """Close silent attempts soon, since the request was sent to another engine."""
         self.lift_overlap_limit()
@@ -100,7 +110,7 @@
         """Close the attempts whose engines fell silent."""
         self.lift_overlap_limit()
         while self.silent:
-            self.silent.pop().attempt.close()
+            self.silent.pop().give_up()
 
 
 @dataclass(kw_only=True)
@@ -110,11 +120,20 @@
     :param attempt: the attempt, still open.
     :param plan: its plan.
     :param backlog_number: number of the prompt in the backlog of its engine.
+    :param free_handle: frees the KV cache that its engine fetches, None if it
+        fetches none.
     """
 
     attempt: Attempt
     plan: PromptPlan
     backlog_number: int | None
+    free_handle: Callable[[], None] | None = None
+
+    def give_up(self) -> None:
+        """Close the attempt, and free a KV cache that was not fetched."""
+        self.attempt.close()
+        if self.free_handle is not None and self.attempt.first_event_s is None:
+            self.free_handle()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -222,9 +241,12 @@
                 now_s=self.state.now_s(),
                 runner=silent.attempt.entry.instance,
             )
-            result = await self._relay_attempt(
-                context, progress, silent.plan, exchange, silent.attempt
-            )
+            try:
+                result = await self._relay_attempt(
+                    context, progress, silent.plan, exchange, silent.attempt
+                )
+            finally:
+                silent.give_up()
             self._trace_result(context, progress, result)
             match result:
                 case _Completed():
@@ -282,13 +304,16 @@
                 )
                 fetch_from = plan.prefill.fetch_from
                 address = None if fetch_from is None else fetch_from.entry.address
-                result = await self._stream_from_engine(
-                    context, progress, plan, exchange, fetch_from=address
-                )
-                if not isinstance(result, _Completed):
-                    plan.decode_engine.withdraw(
-                        progress.backlog_number, now_s=self.state.now_s()
+                result: _Completed | _AttemptFailed | Response | None = None
+                try:
+                    result = await self._stream_from_engine(
+                        context, progress, plan, exchange, fetch_from=address
                     )
+                finally:
+                    if not isinstance(result, _Completed):
+                        plan.decode_engine.withdraw(
+                            progress.backlog_number, now_s=self.state.now_s()
+                        )
                 return result
 
     async def _decode_from_handle(
@@ -301,7 +326,7 @@
     ) -> _Completed | _AttemptFailed | Response:
         """Run decode of a prompt whose KV cache is held under a handle.
 
-        The handle is freed unless the stream was relayed to its end.
+        The handle is freed unless the stream was relayed to its end, or may yet be.
         """
         source = f"{plan.prefill.engine.entry.address}/{handle}"
         result: _Completed | _AttemptFailed | Response | None = None
@@ -320,11 +345,17 @@
             )
         finally:
             if not isinstance(result, _Completed):
-                # An engine that is only silent may still be fetching the KV cache.
-                if not (isinstance(result, _AttemptFailed) and result.silent):
-                    self.prefill_client.free_handle(
-                        context, plan.prefill.engine, handle
-                    )
+                free_handle = partial(
+                    self.prefill_client.free_handle,
+                    context,
+                    plan.prefill.engine,
+                    handle,
+                )
+                if isinstance(result, _AttemptFailed) and result.silent:
+                    # The engine may still be fetching the KV cache.
+                    progress.silent[-1].free_handle = free_handle
+                else:
+                    free_handle()
                 progress.separate_prefill_failed = True
         return result
 
@@ -362,6 +393,9 @@
             attempt.close()
             progress.connect_failures += 1
             return _AttemptFailed(reason=error.reason)
+        except BaseException:
+            attempt.close()
+            raise
         context.attempt_count += 1
         context.lifecycle.apply("send")
         progress.limit_overlap()
@@ -390,6 +424,8 @@
             attempt.health.record_incomplete(silent=silent, now_s=self.state.now_s())
             if isinstance(error, UpstreamError) and self._is_beginning(attempt):
                 attempt.close()
+                # Only silent engines run the request during the check.
+                progress.lift_overlap_limit()
                 await self._crash_monitor.examine_loss(context, attempt.entry)
             return _AttemptFailed(reason=str(error) or "silent", silent=silent)
         finally:
@@ -452,9 +488,13 @@
                 continue
             # Only events with an id show that the engine makes progress, unless it
             # numbers none of them. Other bytes may come without end.
-            progresses = progress.last_event_id is None or any(
-                event.event_id is not None for event in events
+            progresses = any(
+                event.event_id is not None
+                or (progress.last_event_id is None and _has_data(event))
+                for event in events
             )
+            if progresses:
+                progress.close_silent()
             if progresses and attempt.first_event_s is None:
                 self._record_first_event(context, progress, plan, attempt)
             began = attempt.first_event_s is not None
@@ -487,7 +527,6 @@
         events: Sequence[Event],
     ) -> None:
         """Write events to the client, after the response head for the first ones."""
-        progress.close_silent()
         if not progress.head_sent:
             await exchange.start_response(_OK, encode_response_headers(headers))
             progress.head_sent = True
@@ -495,6 +534,8 @@
         for event in events:
             if event.event_id is not None:
                 progress.last_event_id = event.event_id
+            elif _has_data(event):
+                progress.unnumbered_sent = True
         data = b"".join(event.data for event in events)
         if data:
             await exchange.write(data)
@@ -585,6 +626,7 @@
     ) -> bool:
         return (
             progress.may_fail_over
+            and progress.may_resume
             and context.lifecycle.idempotent
             and context.attempt_count < context.route.max_attempts
         )
@@ -593,6 +635,8 @@
         now_s = self.state.now_s()
         if not context.lifecycle.may_send or context.remaining_s(now_s) <= 0:
             return False
+        if not progress.may_resume:
+            return False
         if context.crashed_engine and not progress.head_sent:
             return False
         if self.state.find_quarantined(context) is not None:
@@ -635,6 +679,11 @@
     return None if timeout_s is None else now_s + timeout_s
 
 
+def _has_data(event: Event) -> bool:
+    """Return whether an event is more than a comment."""
+    return _DATA_LINE.search(event.data) is not None
+
+
 def _undelivered(events: Sequence[Event], last_event_id: int | None) -> list[Event]:
     """Return the events that the client has not received yet."""
     return [
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
-from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR
+from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR, MAX_OVERLAP_S
 from tests.host.hosting import running_host
 from tests.platform.scene import (
     HostTestbed,
@@ -120,6 +120,106 @@
         assert silent.cancelled_count == 0
 
 
+# Guards against a refusal as not run of a call that a silent runner has.
+async def test_a_safe_call_waits_for_a_silent_runner_that_drains():
+    one, two = make_app_runner("app-1"), make_app_runner("app-2")
+    one.mode = two.mode = "pause"
+    one.pause_s = two.pause_s = 1.0
+    async with running_scene(one, two) as scene:
+        fleet = scene.process.state.fleet
+        ready = fleet.ready
+        fleet.ready = lambda name: [] if one.runs or two.runs else ready(name)
+        answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (200, b"done")
+        assert len(one.runs) + len(two.runs) == 1
+        assert one.cancelled_count == two.cancelled_count == 0
+
+
+# Guards against a call that is given up although a silent runner answers in time.
+async def test_a_safe_call_waits_for_a_silent_runner_if_no_other_one_is_reached():
+    runners = [make_app_runner(f"app-{number}") for number in range(5)]
+    for runner in runners:
+        runner.mode, runner.pause_s = "pause", 0.8
+    async with running_scene(*runners) as scene:
+        request = asyncio.create_task(
+            scene.send_request("/status/", method="GET", body=b"")
+        )
+        while not any(runner.runs for runner in runners):
+            await asyncio.sleep(0.01)
+        for runner in runners:
+            if not runner.runs:
+                runner.close()
+        answer = await request
+        assert (answer.status, answer.body) == (200, b"done")
+        assert sum(len(runner.runs) for runner in runners) == 1
+
+
+class SlowBody(FakeRunner):
+    """Pauses before the response, and for ever within it."""
+
+    async def serve(self, request, exchange):
+        await asyncio.sleep(0.5)
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"do")
+        await asyncio.sleep(600)
+
+
+# Guards against a call that expires although a silent runner has answered it.
+@pytest.mark.parametrize("kind", [FakeRunner, SlowBody])
+async def test_a_safe_call_takes_a_silent_runners_answer_while_the_last_one_hangs(kind):
+    silent, other = make_app_runner("app-1"), kind("app-2", "app")
+    silent.mode, silent.pause_s = "pause", 0.8
+    other.mode = "hang"
+    async with running_scene(silent, other) as scene:
+        for _ in range(4):
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+            assert (answer.status, answer.body) == (200, b"done")
+            upstreams = scene.process.state.upstreams
+            for name in ("app-1", "app-2"):
+                assert upstreams.health(name).outstanding == 0
+        assert other.runs
+
+
+# Guards against an error of a runner that is replaced by a refusal of the host.
+async def test_a_safe_call_returns_a_silent_runners_error_if_no_other_one_answers():
+    class LateError(FakeRunner):
+        async def serve(self, request, exchange):
+            await asyncio.sleep(0.6)
+            await exchange.respond(self.make_response(request, 500))
+
+    late, other = LateError("app-1", "app"), make_app_runner("app-2")
+    other.mode = "reject"
+    async with running_scene(late, other) as scene:
+        while not late.runs:
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (500, b"done")
+
+
+# Guards against a call that one runner runs twice at the same time.
+async def test_a_safe_call_is_not_sent_again_to_a_silent_runner():
+    silent, other = make_app_runner("app-1"), make_app_runner("app-2")
+    silent.mode, silent.pause_s = "pause", 0.8
+    async with running_scene(silent, other) as scene:
+        other.close()
+        for _ in range(3):
+            run_count = len(silent.runs)
+            answer = await scene.send_request("/status/", method="GET", body=b"")
+            assert (answer.status, answer.body) == (200, b"done")
+            assert len(silent.runs) == run_count + 1
+
+
+# Guards against a refusal as not run of a call that its runner has run.
+async def test_a_lost_safe_call_is_not_refused_as_not_run_without_runners():
+    runner = make_app_runner()
+    runner.mode = "cut"
+    async with running_scene(runner) as scene:
+        fleet = scene.process.state.fleet
+        fleet.ready = lambda service: [] if runner.runs else [fleet.get("app-1")]
+        answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert answer.status == 502
+        assert len(runner.runs) == 1
+
+
 async def test_a_safe_call_returns_a_runners_error_if_all_attempts_fail():
     bad, worse = make_app_runner("app-1"), make_app_runner("app-2")
     bad.mode = worse.mode = "fail"
@@ -258,6 +358,59 @@
         assert len(broken.runs) == 1
 
 
+class LateCut(FakeRunner):
+    """Breaks off without an answer shortly before the overlap limit."""
+
+    async def stream(self, request, exchange):
+        await asyncio.sleep(0.9 * MAX_OVERLAP_S)
+        exchange.abort()
+
+
+# Guards against a stream that is cut since the overlap limit closed its only engine.
+async def test_a_silent_engine_stays_open_while_a_crash_is_examined():
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.6
+    other = LateCut("runner-2", "llm", stage="decode", zone="qc-a")
+    async with running_scene(prefiller, silent, other) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(other.runs) == 1
+        assert silent.cancelled_count == 0
+
+
+class CommentThenCut(FakeRunner):
+    """Sends a comment at once, then breaks off."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b": ping\n\n")
+        await asyncio.sleep(0.05)
+        exchange.abort()
+
+
+# Guards against a sound engine that is given up for one that only sends comments.
+@pytest.mark.parametrize(
+    ("mode", "silence_s"),
+    [("pause", GAP_TIMEOUT_S), ("pause_first", MIN_FIRST_EVENT_TIMEOUT_S)],
+)
+async def test_a_comment_of_the_next_engine_does_not_give_up_a_silent_one(
+    mode, silence_s
+):
+    prefiller, silent = make_engines()
+    silent.mode, silent.pause_s = mode, silence_s + 0.8
+    other = CommentThenCut("runner-2", "llm", stage="decode", zone="qc-a")
+    routes = [make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=8000)]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(
+        prefiller, silent, other, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="8000")
+        assert answer.complete
+        assert answer.body.replace(b": ping\n\n", b"") == STREAM
+        assert len(other.runs) == 1
+        assert silent.cancelled_count == 0
+
+
 # Guards against a request that two engines run at the same time.
 async def test_a_silent_engine_is_given_up_soon_after_another_one_has_the_request():
     prefiller, silent = make_engines()
@@ -294,6 +447,36 @@
             await asyncio.sleep(0.01)
 
 
+class Unnumbered(FakeRunner):
+    """Sends events without an id, and pauses or breaks off after the first."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"data: w1\n\n")
+        await asyncio.sleep(self.pause_s)
+        if self.mode == "cut":
+            exchange.abort()
+            return
+        await exchange.write(b"data: w2\n\n")
+        await exchange.finish()
+
+
+# Guards against events that the client gets twice, as it can't tell them by an id.
+@pytest.mark.parametrize(("mode", "complete"), [("cut", False), ("pause", True)])
+async def test_events_without_an_id_are_not_sent_twice(mode, complete):
+    engines = [
+        Unnumbered(f"runner-{number}", "llm", stage="decode") for number in (1, 2)
+    ]
+    for engine in engines:
+        engine.mode = mode
+        engine.pause_s = 0.1 if mode == "cut" else GAP_TIMEOUT_S + 0.4
+    async with running_scene(*engines) as scene:
+        answer = await scene.send_request("/ask/1")
+        assert (answer.status, answer.complete) == (200, complete)
+        assert answer.body == b"data: w1\n\n" + b"data: w2\n\n" * complete
+        assert sum(len(engine.runs) for engine in engines) == 1
+
+
 async def test_an_interrupted_stream_that_is_not_resumable_ends_incomplete():
     prefiller, broken = make_engines()
     broken.mode = "cut"
@@ -316,6 +499,26 @@
     assert prefiller.released_handles == ["h1"]
 
 
+# Guards against a KV cache that is kept after its silent engine was given up.
+@pytest.mark.parametrize("next_mode", ["serve", "reject"])
+async def test_the_kv_cache_of_a_silent_engine_is_freed_when_it_is_given_up(next_mode):
+    prefiller, silent = make_engines()
+    silent.mode = "hang"
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    other.mode = next_mode
+    routes = [make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=4000)]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(
+        prefiller, silent, other, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="4000")
+        assert answer.status == (200 if next_mode == "serve" else 504)
+        assert len(prefiller.prefills) == len(silent.runs) == 1
+        while not prefiller.released_handles:
+            await asyncio.sleep(0.01)
+        assert prefiller.released_handles == ["h1"]
+
+
 async def test_a_draining_runner_gets_no_new_work():
     leaving, staying = make_app_runner("app-1"), make_app_runner("app-2")
     async with running_scene(leaving, staying) as scene:
