Wait for a silent runner of a safe call also if the others are unreachable

When the runners that followed could not be connected to, the call was still refused with 502 at once. All ends of a call without a further attempt go one way now; this also no longer calls a request not run when its runners have left the view after one of them had it (not tested by itself). The new test failed before (502 for 200) and passes.

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -3,7 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
-from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
+from lacewinglug.host.answers import (
+    NO_RUNNER_RETRY_AFTER_S,
+    Refusal,
+    RefusalReason,
+    refuse_as_not_run,
+)
 from lacewinglug.host.context import (
     Attempt,
     HostState,
@@ -96,14 +101,16 @@
         while True:
             entry = self._choose_runner(context)
             if entry is None:
-                return failure or refuse_as_not_run(RefusalReason.NO_RUNNER)
+                return await self._finish_without_retry(
+                    context, silent, failure, RefusalReason.NO_RUNNER
+                )
             outcome = await self._attempt(context, entry, silent)
             match outcome:
                 case Unreached():
                     unreached += 1
                     if unreached >= MAX_CONNECT_ATTEMPTS:
-                        return failure or self._make_refusal(
-                            context, RefusalReason.UNREACHABLE
+                        return await self._finish_without_retry(
+                            context, silent, failure, RefusalReason.UNREACHABLE
                         )
                     continue
                 case Answered(response=response):
@@ -119,12 +126,24 @@
                 case Lost():
                     pass
             if not self._may_retry(context):
-                return (
-                    await self._wait_for_silent(context, silent)
-                    or failure
-                    or self._make_refusal(context, RefusalReason.REJECTED)
+                return await self._finish_without_retry(
+                    context, silent, failure, RefusalReason.REJECTED
                 )
 
+    async def _finish_without_retry(
+        self,
+        context: RequestContext,
+        silent: list[Attempt],
+        failure: Response | None,
+        reason: RefusalReason,
+    ) -> Response | Refusal:
+        """Return the final response to a call that is not sent again.
+
+        :param failure: error response of a runner, returned if no other one answers.
+        """
+        response = await self._wait_for_silent(context, silent)
+        return response or failure or self._make_refusal(context, reason)
+
     async def _wait_for_silent(
         self, context: RequestContext, silent: list[Attempt]
     ) -> Response | None:
@@ -269,7 +288,12 @@
 
     def _make_refusal(self, context: RequestContext, reason: RefusalReason) -> Refusal:
         if context.lifecycle.not_executed:
-            return refuse_as_not_run(reason, retry_after_s=REJECTED_RETRY_AFTER_S)
+            retry_after_s = (
+                NO_RUNNER_RETRY_AFTER_S
+                if reason is RefusalReason.NO_RUNNER
+                else REJECTED_RETRY_AFTER_S
+            )
+            return refuse_as_not_run(reason, retry_after_s=retry_after_s)
         return Refusal(status=502, reason=RefusalReason.OUTCOME_UNKNOWN)
 
 
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -222,6 +222,9 @@
     :param state: state of the host.
     :param context: the request.
     :param entry: the runner.
+
+    ``splitter`` holds the incomplete event of a stream, ``progressed`` tells whether
+    the stream has had an event.
     """
 
     def __init__(
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -120,6 +120,21 @@
         assert silent.cancelled_count == 0
 
 
+async def test_a_safe_call_waits_for_a_silent_runner_if_no_other_one_is_reachable():
+    """Regression test: the call was refused although its first runner was sound."""
+    silent, others = make_app_runner("app-1"), [make_app_runner("app-2")]
+    others += [make_app_runner("app-3"), make_app_runner("app-4")]
+    silent.mode, silent.pause_s = "pause", 0.8
+    async with running_scene(silent, *others) as scene:
+        for other in others:
+            other.mode = "reject"
+            other.close()
+            scene.process.state.upstreams.health(other.instance).blocked_until_s = 1e12
+        answer = await scene.send_request("/status/", method="GET", body=b"")
+        assert (answer.status, answer.body) == (200, b"done")
+        assert len(silent.runs) == 1
+
+
 async def test_a_safe_call_returns_a_runners_error_if_all_attempts_fail():
     bad, worse = make_app_runner("app-1"), make_app_runner("app-2")
     bad.mode = worse.mode = "fail"
