--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lacewinglug.host.answers import (
     NO_RUNNER_RETRY_AFTER_S,
@@ -77,13 +77,11 @@
     """Sends plain calls to runners, with retries.
 
     :param state: state of the host.
+    :param crash_monitor: examines engines that lost a request.
     """
 
     state: HostState
-    _crash_monitor: CrashMonitor = field(init=False)
-
-    def __post_init__(self) -> None:
-        self._crash_monitor = CrashMonitor(state=self.state)
+    crash_monitor: CrashMonitor
 
     async def relay(self, context: RequestContext) -> Response | Refusal:
         """Return the final response to a plain call."""
@@ -273,7 +271,7 @@
         except UpstreamError as error:
             context.lifecycle.apply("lose")
             attempt.close()
-            await self._crash_monitor.examine_loss(context, attempt.entry)
+            await self.crash_monitor.examine_loss(context, attempt.entry)
             return Lost(reason=error.reason)
         return self._classify_response(context, response)
 
--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -7,6 +7,7 @@
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import CallRelay
 from lacewinglug.host.context import HostState, RequestContext
+from lacewinglug.host.crashes import CrashMonitor
 from lacewinglug.host.life import RequestLifecycle
 from lacewinglug.host.model import RequestMetadata, RetryPolicy, Route
 from lacewinglug.host.placing import PromptPlacer
@@ -45,12 +46,14 @@
     _streams: StreamRelay = field(init=False)
 
     def __post_init__(self) -> None:
-        self._calls = CallRelay(state=self.state)
+        crash_monitor = CrashMonitor(state=self.state)
+        self._calls = CallRelay(state=self.state, crash_monitor=crash_monitor)
         placer = PromptPlacer(state=self.state)
         self._streams = StreamRelay(
             state=self.state,
             placer=placer,
             prefill_client=PrefillClient(state=self.state, placer=placer),
+            crash_monitor=crash_monitor,
         )
 
     async def handle(self, request: Request, exchange: Exchange) -> None:
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -160,15 +160,13 @@
     :param state: shared state of the host.
     :param placer: chooses engines.
     :param prefill_client: runs prefill on a separate engine.
+    :param crash_monitor: examines engines that lost a request.
     """
 
     state: HostState
     placer: PromptPlacer
     prefill_client: PrefillClient
-    _crash_monitor: CrashMonitor = field(init=False)
-
-    def __post_init__(self) -> None:
-        self._crash_monitor = CrashMonitor(state=self.state)
+    crash_monitor: CrashMonitor
 
     async def relay(
         self, context: RequestContext, exchange: Exchange
@@ -426,7 +424,7 @@
                 attempt.close()
                 # Only silent engines run the request during the check.
                 progress.lift_overlap_limit()
-                await self._crash_monitor.examine_loss(context, attempt.entry)
+                await self.crash_monitor.examine_loss(context, attempt.entry)
             return _AttemptFailed(reason=str(error) or "silent", silent=silent)
         finally:
             if silent:
