Return a runner's error in time if a silent one never answers

Callers got 504 at their deadline although a runner had answered 500: the host waited for the silent runner without a limit. With an error in hand it now waits until 50 ms before the request expires. Both cases of the new test failed before (504 for 500).

--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -132,27 +132,37 @@
                     pass
             if not self._may_retry(context):
                 break
-        return (
-            await self._wait_for_silent(context, silent)
-            or failure
-            or self._make_refusal(context, reason)
-        )
+        final = await self._wait_for_silent(context, silent, failure)
+        return final or self._make_refusal(context, reason)
 
     async def _wait_for_silent(
-        self, context: RequestContext, silent: list[Attempt]
+        self,
+        context: RequestContext,
+        silent: list[Attempt],
+        failure: Response | None,
     ) -> Response | None:
         """Return the first response of the runners with an open attempt.
 
         The call is not sent again, but these runners may still answer. An error of a
-        runner is returned only if no other one answers, None if nothing is received.
+        runner is returned only if no other one answers in time, None if nothing is
+        received.
+
+        :param failure: error of a runner that was received already.
         """
-        failure: Response | None = None
         reads = {
             asyncio.create_task(_read_response(attempt)): attempt for attempt in silent
         }
         try:
             while reads:
-                done, _ = await asyncio.wait(reads, return_when=asyncio.FIRST_COMPLETED)
+                done, _ = await asyncio.wait(
+                    reads,
+                    timeout=None
+                    if failure is None
+                    else context.time_to_report_s(self.state.now_s()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    break
                 read = done.pop()
                 attempt = reads.pop(read)
                 context.lifecycle.apply("wait")
--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -43,6 +43,8 @@
 """Timeout of connecting to a runner, in s; about ten round trips between regions."""
 ENGINE_CALL_TIMEOUT_S = 1.0
 """Timeout of the host's own calls to an engine, in s."""
+REPORT_MARGIN_S = 0.05
+"""Time before a request expires at which an error in hand is sent, in s."""
 MAX_ENGINE_RESPONSE_BYTES = 1_048_576
 """Size limit of the response to such a call; lists of cached prompt parts are the
 largest."""
@@ -223,6 +225,10 @@
         """Return the time left until the final response is due, in s."""
         return self.expires_s - now_s
 
+    def time_to_report_s(self, now_s: float) -> float:
+        """Return the time for which an error in hand may be held back, in s."""
+        return max(0.0, self.remaining_s(now_s) - REPORT_MARGIN_S)
+
     def deadline_s(self, now_s: float) -> float | None:
         """Return the deadline to pass to a runner, in s from now.
 
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -229,7 +229,15 @@
         progress.may_fail_over = False
         progress.lift_overlap_limit()
         while progress.silent:
-            attempt = await wait_for_any([item.attempt for item in progress.silent])
+            attempts = [item.attempt for item in progress.silent]
+            limit_s = None
+            if progress.failure_response is not None:
+                limit_s = context.time_to_report_s(self.state.now_s())
+            try:
+                async with asyncio.timeout(limit_s):
+                    attempt = await wait_for_any(attempts)
+            except TimeoutError:
+                break
             silent = next(item for item in progress.silent if item.attempt is attempt)
             progress.silent.remove(silent)
             progress.backlog_number = silent.backlog_number
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -180,6 +180,24 @@
         assert other.runs
 
 
+# Guards against an error in hand that is held back until the request expires.
+@pytest.mark.parametrize("path", ["/status/", "/ask/1"])
+async def test_an_error_is_returned_if_the_silent_runner_never_answers(path):
+    prefiller, silent = make_engines()
+    runners = [make_app_runner("app-1"), make_app_runner("app-2")]
+    engine = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    silent.mode = runners[0].mode = "hang"
+    engine.mode = runners[1].mode = "fail"
+    configuration = make_configuration()
+    for route in configuration["Routes"]:
+        route["TimeoutMs"] = 4000
+    async with running_scene(
+        prefiller, silent, engine, *runners, configuration=configuration
+    ) as scene:
+        answer = await scene.send_request(path, X_Lacewinglug_Deadline_Ms="4000")
+        assert answer.status == 500
+
+
 # Guards against an error of a runner that is replaced by a refusal of the host.
 async def test_a_safe_call_returns_a_silent_runners_error_if_no_other_one_answers():
     class LateError(FakeRunner):
