--- a/review/1/case.py
+++ b/review/1/case.py
@@ -68,7 +68,8 @@
         await stage.write_foreign_entry("inventory-7", foreign_record())
         record.add("another writer's entry", bytes=len(foreign_record()))
     await asyncio.sleep(4.0)
-    record.add("all hosts are killed")
+    await stage.publish(make_configuration(version=2))
+    record.add("a configuration is acknowledged, then all hosts are killed")
     killed_s = record.now_s()
     for host in stage.hosts:
         host.send(signal.SIGKILL)
