Leave a record out whatever its decoder raises

Cause: msgspec raises RecursionError above about 1,000 levels. decode_runner caught DecodeError only, so one entry ended the read of all of them, each second again. The same error was not caught in host registrations, tenure claims, datagrams between hosts, responses of the store, and reports, cache lists and prefill responses of engines.

Change: one module decodes what other programs wrote and turns each error of the decoder into MalformedDataError. RecordDecoder decodes the records of a topic one by one, leaves out each that fails for whatever reason, and logs its key once.

Before the change these tests failed: test_a_deeply_nested_entry_hides_no_runner, test_a_deeply_nested_registration_hides_no_host, test_malformed_datagrams_are_ignored, test_malformed_records_are_rejected (nested data), test_deeply_nested_engine_messages_are_invalid; all pass now.

--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from lacewinglug.decoding import MalformedDataError, decode_msgpack
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.model import Stage
@@ -158,7 +159,6 @@
 
 _READY, _LEAVING, _KNOWS_CACHES, _READS_STORE = 1, 2, 4, 8
 _STAGE_NAMES = frozenset(stage.value for stage in Stage)
-_decoder = msgspec.msgpack.Decoder(_Datagram)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -167,15 +167,12 @@
     return _encoder.encode(_to_identity_message(identity))
 
 
-def decode_identity(data: bytes) -> HostIdentity | None:
-    """Decode a host's identity; return None if it is malformed."""
-    try:
-        return _from_identity_message(
-            msgspec.msgpack.decode(data, type=_IdentityMessage)
-        )
-    except msgspec.DecodeError as error:
-        logger.warning("ignoring malformed host record in the store: %s", error)
-        return None
+def decode_identity(data: bytes) -> HostIdentity:
+    """Decode a host's identity.
+
+    :raises MalformedDataError: it is malformed.
+    """
+    return _from_identity_message(decode_msgpack(data, kind=_IdentityMessage))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -441,8 +438,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a datagram from another host."""
         try:
-            message = _decoder.decode(data)
-        except msgspec.DecodeError as error:
+            message = decode_msgpack(data, kind=_Datagram)
+        except MalformedDataError as error:
             logger.warning("dropping malformed datagram from %s: %s", addr[0], error)
             return
         if message.relay or message.bundled_by:
--- a/lacewinglug/host/tenure.py
+++ b/lacewinglug/host/tenure.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lacewinglug.clock import read_boot_time_s
+from lacewinglug.decoding import MalformedDataError, decode_msgpack
 from lacewinglug.host.positions import FIRST_ERA, StorePosition
 from lacewinglug.platform.store import StoreClient, StoreError
 
@@ -165,8 +166,8 @@
 def _decode_claimant(record: bytes) -> tuple[str, str] | None:
     """Return the name and IP address of the claiming host, None if malformed."""
     try:
-        claim = msgspec.msgpack.decode(record, type=_Claim)
-    except msgspec.DecodeError as error:
+        claim = decode_msgpack(record, kind=_Claim)
+    except MalformedDataError as error:
         logger.warning("ignoring malformed tenure claim: %s", error)
         return None
     return claim.host, claim.ip
--- a/lacewinglug/host/watch.py
+++ b/lacewinglug/host/watch.py
@@ -12,9 +12,10 @@
 from dataclasses import dataclass, field, replace
 
 from lacewinglug.clock import read_boot_time_s
+from lacewinglug.decoding import RecordDecoder
 from lacewinglug.errors import PlatformError
 from lacewinglug.host.fleet import FleetView
-from lacewinglug.host.hosts import HostTable
+from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.peers import PeerProtocol, decode_identity, encode_identity
 from lacewinglug.host.positions import FIRST_ERA, StorePosition
@@ -97,7 +98,14 @@
     on_configuration_read: Callable[[], None] = lambda: None
     store_reachable: bool = False
     _is_leaving: bool = False
-    _malformed_runners: frozenset[str] = frozenset()
+    _runner_records: RecordDecoder[RunnerEntry] = field(
+        default_factory=lambda: RecordDecoder(what="runner", decode=decode_runner)
+    )
+    _host_records: RecordDecoder[HostIdentity] = field(
+        default_factory=lambda: RecordDecoder(
+            what="host", decode=lambda _key, data: decode_identity(data)
+        )
+    )
     _shared_entries: ReplicatedRunners = field(default_factory=ReplicatedRunners)
     _last_read_boot_s: float = float("-inf")
     _shared_view_read_s: float = float("-inf")
@@ -338,16 +346,7 @@
         """
         started_s, started_boot_s = self.now_s(), self.boot_time_s()
         snapshot = await self.store.read_newest(RUNNERS_TOPIC)
-        entries: list[RunnerEntry] = []
-        malformed = set()
-        for instance, data in snapshot.values.items():
-            try:
-                entries.append(decode_runner(instance, data))
-            except RecordError as error:
-                malformed.add(instance)
-                if instance not in self._malformed_runners:
-                    logger.warning("ignoring malformed runner record: %s", error)
-        self._malformed_runners = frozenset(malformed)
+        entries = self._runner_records.decode_all(snapshot.values)
         self.fleet.update(entries, now_s=started_s)
         self._last_read_boot_s = started_boot_s
         self.store_reachable = True
@@ -427,9 +426,8 @@
 
     async def _read_hosts(self) -> None:
         snapshot = await self.store.read_newest(HOSTS_TOPIC)
-        for data in snapshot.values.values():
-            identity = decode_identity(data)
-            if identity is None or not self.hosts.add(identity):
+        for identity in self._host_records.decode_all(snapshot.values):
+            if not self.hosts.add(identity):
                 continue
             if not self.peers.relaying:
                 self.peers.send_heartbeat_to(identity.ip)
--- a/lacewinglug/platform/calls.py
+++ b/lacewinglug/platform/calls.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lacewinglug.decoding import MalformedDataError, decode_json
 from lacewinglug.host.model import (
     CachedPart,
     EngineStatus,
@@ -97,8 +98,8 @@
 def decode_prefill_response(body: bytes) -> PrefillResult | None:
     """Decode an engine's response to a prefill, None if it is invalid."""
     try:
-        raw = msgspec.json.decode(body, type=_PrefillResponse)
-    except msgspec.DecodeError:
+        raw = decode_json(body, kind=_PrefillResponse)
+    except MalformedDataError:
         return None
     return PrefillResult(handle=raw.transfer_handle, tokens=raw.tokens)
 
@@ -111,9 +112,9 @@
 def decode_report(body: bytes) -> EngineStatus | None:
     """Decode an engine's report, None if it is invalid."""
     try:
-        raw = msgspec.json.decode(body, type=_ReportResponse)
+        raw = decode_json(body, kind=_ReportResponse)
         stage = Stage(raw.stage)
-    except (msgspec.DecodeError, ValueError):
+    except (MalformedDataError, ValueError):
         return None
     return EngineStatus(stage=stage, busy=raw.busy, accepted_orders=raw.sequence)
 
@@ -121,8 +122,8 @@
 def decode_cache_list(body: bytes) -> list[CachedPart]:
     """Decode an engine's list of cached prompt parts; empty if it is invalid."""
     try:
-        raw = msgspec.json.decode(body, type=_CacheListResponse)
-    except msgspec.DecodeError as error:
+        raw = decode_json(body, kind=_CacheListResponse)
+    except MalformedDataError as error:
         logger.warning("ignoring an invalid list of cached prompt parts: %s", error)
         return []
     return [
--- a/lacewinglug/platform/records.py
+++ b/lacewinglug/platform/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lacewinglug.decoding import MalformedDataError, decode_json
 from lacewinglug.host.model import (
     Configuration,
     EngineProfile,
@@ -34,7 +35,7 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-class RecordError(Exception):
+class RecordError(MalformedDataError):
     """A record is invalid; the message says why."""
 
 
@@ -105,9 +106,9 @@
     :raises RecordError: the record is not a valid configuration.
     """
     try:
-        raw = msgspec.json.decode(data, type=_Configuration)
+        raw = decode_json(data, kind=_Configuration)
         routes = tuple(_decode_route(item) for item in raw.routes)
-    except (msgspec.DecodeError, KeyError, RecursionError) as error:
+    except (MalformedDataError, KeyError) as error:
         raise RecordError(f"invalid configuration: {error}") from None
     for item in raw.services:
         if item.engine is not None and not _is_usable(item.engine):
@@ -130,9 +131,9 @@
     :raises RecordError: a field is missing, or its type or value is invalid.
     """
     try:
-        raw = msgspec.json.decode(data, type=_Runner)
+        raw = decode_json(data, kind=_Runner)
         draining = _DRAINING_BY_STATE[raw.state]
-    except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
+    except (MalformedDataError, KeyError) as error:
         raise RecordError(f"invalid entry of runner {instance}: {error}") from None
     host, _, port = raw.address.rpartition(":")
     if not host or not _is_port(port) or raw.slots < 1:
--- a/lacewinglug/platform/settings.py
+++ b/lacewinglug/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lacewinglug.decoding import MalformedDataError, decode_json
 from lacewinglug.errors import UserError
 from lacewinglug.host.model import HostSettings
 
@@ -78,8 +79,8 @@
     :raises UserError: a field is missing or invalid; the message names it.
     """
     try:
-        raw = msgspec.json.decode(data, type=_Settings)
-    except msgspec.DecodeError as error:
+        raw = decode_json(data, kind=_Settings)
+    except MalformedDataError as error:
         raise UserError(f"invalid settings: {error}; correct this field") from None
     bounds = raw.bounds
     return HostSettings(
--- a/lacewinglug/platform/store.py
+++ b/lacewinglug/platform/store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 import logging
 import struct
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 
 import msgspec
 
+from lacewinglug.decoding import MalformedDataError, decode_json
 from lacewinglug.errors import PlatformError
 from lacewinglug.host.model import TopicSnapshot
 from lacewinglug.host.positions import FIRST_ERA, StorePosition
@@ -279,23 +279,23 @@
 
 def _decode_page(body: bytes) -> _NewestPage:
     try:
-        return msgspec.json.decode(body, type=_NewestPage)
-    except msgspec.DecodeError as error:
+        return decode_json(body, kind=_NewestPage)
+    except MalformedDataError as error:
         raise StoreError(f"invalid store response: {error}") from None
 
 
 def _decode_value(item: _NewestItem) -> bytes:
     try:
         return base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # The record's decoder logs the invalid value.
         return b""
 
 
 def _decode_first_offset(reply: _Reply) -> int:
     try:
-        return msgspec.json.decode(reply.body, type=_ExpiredResponse).first
-    except msgspec.DecodeError as error:
+        return decode_json(reply.body, kind=_ExpiredResponse).first
+    except MalformedDataError as error:
         raise StoreError(f"invalid store response: {error}") from None
 
 
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -2,10 +2,15 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
+from lacewinglug.decoding import MalformedDataError
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.peers import (
     AdvertisedState,
     PeerProtocol,
+    _Datagram,
     decode_identity,
     encode_identity,
 )
@@ -14,12 +19,14 @@
 from tests.host.test_hosts import make_identity, make_table
 from tests.platform.scene import HostTestbed, make_settings
 from tests.platform.standin import FakeRunner
+from tests.test_decoding import append_nested_field
 
 
 def test_identity_round_trip_and_malformed_identity():
     own = make_identity("a", "mtl-a")
     assert decode_identity(encode_identity(own)) == own
-    assert decode_identity(b"\xc1rubbish") is None
+    with pytest.raises(MalformedDataError):
+        decode_identity(b"\xc1rubbish")
 
 
 def test_malformed_datagrams_are_ignored():
@@ -31,7 +38,8 @@
             ready=True, leaving=False, knows_cache_contents=True
         ),
     )
-    for data in (b"", b"\xc1", b"\x90", b"[]", b"\x91\x91\x01"):
+    nested = append_nested_field(msgspec.msgpack.encode(_Datagram()))
+    for data in (b"", b"\xc1", b"\x90", b"[]", b"\x91\x91\x01", nested):
         link.datagram_received(data, ("10.0.0.9", 7380))
     assert table.peers == []
 
--- a/tests/host/test_watch.py
+++ b/tests/host/test_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import json
 from dataclasses import replace
 
 import pytest
@@ -11,19 +12,22 @@
 from lacewinglug.host.fleet import REGISTRATION_GRACE_S, FleetView, LeavingSource
 from lacewinglug.host.hosts import HostTable
 from lacewinglug.host.model import TopicSnapshot
+from lacewinglug.host.peers import PeerProtocol, encode_identity
 from lacewinglug.host.positions import StorePosition
 from lacewinglug.host.routes import RouteTable
 from lacewinglug.host.sharing import ReplicatedRunners
 from lacewinglug.host.watch import (
+    HOSTS_TOPIC,
     RUNNER_EXPIRY_HEARTBEATS,
     RUNNER_POLL_INTERVAL_S,
     SHARED_VIEW_TIMEOUT_S,
     StoreWatcher,
 )
-from lacewinglug.platform.records import CONFIGURATION_TOPIC
+from lacewinglug.platform.records import CONFIGURATION_TOPIC, RUNNERS_TOPIC
 from lacewinglug.platform.store import StoreError
 from tests.host.samples import make_configuration, make_runner
 from tests.host.test_hosts import make_identity
+from tests.test_decoding import NESTED_JSON, append_nested_field
 
 REGIONS = {"mtl-a": "mtl", "qc-a": "qc"}
 RUN_TIME_S = 20.0
@@ -48,10 +52,15 @@
         self.on_era = lambda _: None
         self.end = StorePosition(era=1, offset=5)
         self.available = True
+        self.values = {}
 
     async def read_newest(self, topic):
         self._count_call()
-        return TopicSnapshot(end=self.end)
+        return TopicSnapshot(values=self.values.get(topic, {}), end=self.end)
+
+    async def put(self, topic, *, key, value):
+        self._count_call()
+        return self.end.era
 
     async def wait_for_records(self, topic, *, start, wait_s):
         self._count_call()
@@ -566,3 +575,41 @@
     await scene.run(2.0, shared_views=False)
     assert len(waiting_at_reads) > 1
     assert not any(waiting_at_reads)
+
+
+# Guards against one deeply nested entry of another writer, after which no host read the
+# runners any more, and none was ready after a restart.
+@on_virtual_time
+async def test_a_deeply_nested_entry_hides_no_runner():
+    scene = WatcherScene()
+    entry = {
+        "Service": "app",
+        "Address": "10.0.0.1:80",
+        "Zone": "mtl-a",
+        "Slots": 6,
+        "State": "ready",
+    }
+    scene.store.values[RUNNERS_TOPIC] = {
+        "inventory-7": NESTED_JSON,
+        "app-1": json.dumps(entry).encode(),
+    }
+    await scene.watch.read_runners()
+    assert [entry.instance for entry in scene.fleet.entries] == ["app-1"]
+
+
+# Guards against the same among the registrations of hosts.
+@on_virtual_time
+async def test_a_deeply_nested_registration_hides_no_host():
+    scene = WatcherScene()
+    own = make_identity("d", "mtl-a")
+    scene.watch.peers = PeerProtocol(
+        table=scene.table, on_work=lambda _: None, advertised_state=lambda: None
+    )
+    scene.store.values[HOSTS_TOPIC] = {
+        "inventory-7": append_nested_field(encode_identity(own)),
+        "c": encode_identity(make_identity("c", "mtl-a")),
+    }
+    following = asyncio.create_task(scene.watch.follow_hosts())
+    await asyncio.sleep(1.0)
+    following.cancel()
+    assert [peer.name for peer in scene.table.peers] == ["c"]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -12,6 +12,7 @@
     TrafficShare,
 )
 from lacewinglug.platform.calls import (
+    decode_cache_list,
     decode_order_reply,
     decode_prefill_response,
     decode_report,
@@ -23,6 +24,7 @@
     decode_runner,
 )
 from tests.platform.scene import ENGINE, make_configuration, make_route
+from tests.test_decoding import NESTED_JSON
 
 RUNNER = {
     "Service": "llm",
@@ -116,7 +118,7 @@
         decode_runner("i-1", encode(RUNNER | change))
 
 
-@pytest.mark.parametrize("data", [b"", b"{", b"\xff\xfe", b"[]", b"null"])
+@pytest.mark.parametrize("data", [b"", b"{", b"\xff\xfe", b"[]", b"null", NESTED_JSON])
 def test_malformed_records_are_rejected(data):
     with pytest.raises(RecordError):
         decode_runner("i-1", data)
@@ -149,3 +151,10 @@
         == "h"
     )
     assert decode_prefill_response(b"not json") is None
+
+
+# Guards against an error that no caller catches, for bytes that an engine made up.
+def test_deeply_nested_engine_messages_are_invalid():
+    assert decode_report(NESTED_JSON) is None
+    assert decode_prefill_response(NESTED_JSON) is None
+    assert decode_cache_list(NESTED_JSON) == []
