Reject numbers that hosts cannot send each other

Cause: these fields took integers of any size, MessagePack has 64 bits. Change: the models take 64-bit integers only; an entry with another one is malformed and left out, a configuration is not applied, both with a log line.

Evidence: before the change test_error_of_an_invalid_entry_names_the_runner (two cases) and test_invalid_configuration_is_rejected (one) failed.

--- a/lacewinglug/platform/records.py
+++ b/lacewinglug/platform/records.py
@@ -1,6 +1,7 @@
 """Records of the platform's store that the operator and the runners write."""
 
 import logging
+from typing import Annotated
 
 import msgspec
 
@@ -31,6 +32,8 @@
     "unsafe": RetryPolicy.UNSAFE,
     "streaming": RetryPolicy.STREAM,
 }
+_Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""The integers that hosts can send each other."""
 _STAGE_BY_NAME = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -82,7 +85,7 @@
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -92,12 +95,12 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Int64
     state: str
     stage: str = ""
     cold_remaining_ms: float = 0
     # Unix time of the start, in ms. The platform writes only this field in lower case.
-    born: int = msgspec.field(default=0, name="born")
+    born: _Int64 = msgspec.field(default=0, name="born")
 
 
 def decode_configuration(data: bytes) -> Configuration:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -63,6 +63,7 @@
     "change",
     [
         {"Version": "seven"},
+        {"Version": 2**64},
         {"Routes": [{"Name": "r"}]},
         {"Routes": [make_route("r", "sometimes", "app")]},
     ],
@@ -111,6 +112,8 @@
         {"Address": "10.0.0.1:\u00b2"},
         {"Zone": None},
         {"born": 1.5},
+        {"born": 2**64},
+        {"Slots": 2**64},
     ],
 )
 def test_error_of_an_invalid_entry_names_the_runner(change):
