Leave out hosts whose address no socket takes

Cause: sendto raises OverflowError or UnicodeError, which the transport takes as fatal. Change: identities of hosts are checked where they are decoded; a malformed one is left out with a log line, the others in the same datagram count.

Evidence: both cases of test_a_host_with_an_invalid_address_is_left_out failed before (the first closes the socket, the second is added as a host).

--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -1,6 +1,7 @@
 """UDP datagrams between hosts: heartbeats, and work assigned to engines."""
 
 import asyncio
+import ipaddress
 import logging
 import operator
 from collections.abc import Callable, Iterable, Sequence
@@ -58,6 +59,7 @@
 """Time for which a relay sends the complete identity of a new host, in seconds."""
 _MAX_LISTED_PEERS = 40
 """Maximum known hosts that are listed in a heartbeat to a new host."""
+_MAX_PORT = 65_535
 
 
 class _WorkMessage(msgspec.Struct, array_like=True):
@@ -463,8 +465,9 @@
             if shared is not None:
                 self.on_speed(shared)
         for other in message.others:
-            if self.table.add(_from_identity_message(other)):
-                self.send_heartbeat_to(other.ip)
+            known = _read_identity(other)
+            if known is not None and self.table.add(known):
+                self.send_heartbeat_to(known.ip)
         if message.sender is not None:
             self._handle_heartbeat(message, message.sender)
 
@@ -482,9 +485,8 @@
         """Process a heartbeat that a relay has bundled."""
         if beat.name == self.table.own.name:
             return
-        new = beat.identity is not None and self.table.add(
-            _from_identity_message(beat.identity)
-        )
+        identity = None if beat.identity is None else _read_identity(beat.identity)
+        new = identity is not None and self.table.add(identity)
         known = self.table.identity(beat.name)
         if known is None or known.incarnation != beat.incarnation:
             return
@@ -503,7 +505,9 @@
 
     def _handle_heartbeat(self, message: _Datagram, sender: _IdentityMessage) -> None:
         now_s = asyncio.get_running_loop().time()
-        identity = _from_identity_message(sender)
+        identity = _read_identity(sender)
+        if identity is None:
+            return
         self.on_streams(identity.name, message.streams)
         new = self.table.record_heartbeat(
             identity,
@@ -814,7 +818,27 @@
     )
 
 
+def _read_identity(message: _IdentityMessage) -> HostIdentity | None:
+    """Return the identity of a host in a datagram, None if it is malformed."""
+    try:
+        return _from_identity_message(message)
+    except MalformedDataError as error:
+        logger.warning("ignoring a malformed host in a datagram: %s", error)
+        return None
+
+
 def _from_identity_message(message: _IdentityMessage) -> HostIdentity:
+    """Return the identity of a host.
+
+    Sending to an address that no socket takes would close the socket for all hosts.
+
+    :raises MalformedDataError: its address is invalid.
+    """
+    if not (_is_ip_address(message.ip) and 0 < message.peer_port <= _MAX_PORT):
+        raise MalformedDataError(
+            f"host {message.name[:80]!r} has the invalid address "
+            f"{message.ip[:80]!r}, port {message.peer_port}"
+        )
     return HostIdentity(
         name=message.name,
         incarnation=message.incarnation,
@@ -823,3 +847,11 @@
         zone=message.zone,
         client_address=message.client_address,
     )
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -1,6 +1,7 @@
 """Hosts discover each other through the store and share the work of engines."""
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -44,6 +45,37 @@
     assert table.peers == []
 
 
+# Guards against a datagram socket that is closed for all hosts once a heartbeat goes to
+# an address that no socket takes.
+@pytest.mark.parametrize(("ip", "port"), [("10.0.0.2", 70_000), ("a..b", 7380)])
+async def test_a_host_with_an_invalid_address_is_left_out(ip, port):
+    odd = replace(make_identity("odd", "mtl-a"), ip=ip, peer_port=port)
+    with pytest.raises(MalformedDataError, match="odd"):
+        decode_identity(encode_identity(odd))
+    identity = msgspec.msgpack.decode(encode_identity(odd))
+    sound = msgspec.msgpack.decode(encode_identity(make_identity("a", "mtl-a")))
+    table = make_table()
+    table.own = replace(table.own, ip="127.0.0.1", peer_port=0)
+    link = PeerProtocol(
+        table=table,
+        on_work=lambda _: None,
+        advertised_state=lambda: AdvertisedState(
+            ready=True, leaving=False, knows_cache_contents=True
+        ),
+    )
+    await link.open()
+    try:
+        for message in (
+            [[], identity],
+            [[], None, False, False, [identity, sound]],
+        ):
+            link.datagram_received(msgspec.msgpack.encode(message), ("10.0.0.9", 1))
+        assert [peer.name for peer in table.peers] == ["a"]
+        assert not link._transport.is_closing()
+    finally:
+        link.close()
+
+
 async def test_two_hosts_share_work_and_list_each_other():
     engine = FakeRunner("e-1", "llm", stage="decode")
     scene = await HostTestbed().open(engine)
