Reject runner keys, addresses and handles that cannot be used

One with a control character or a space made h11 raise, which callers got as an internal error (503 or 502) although other runners were sound. A host name as address led to a name lookup for each connection.

Change: such entries are malformed and left out; such a handle is an invalid prefill response, after which the prompt is placed again.

Evidence: the new cases of test_error_of_an_invalid_entry_names_the_runner, test_an_entry_whose_key_no_header_can_hold_is_rejected and test_a_handle_that_no_header_can_hold_is_invalid failed before (9 cases).

--- a/lacewinglug/decoding.py
+++ b/lacewinglug/decoding.py
@@ -4,6 +4,7 @@
 that callers can leave a malformed item out and keep the others.
 """
 
+import ipaddress
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -46,6 +47,15 @@
         raise MalformedDataError(str(error)) from None
 
 
+def is_ipv4_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address; host names are none."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass(kw_only=True)
 class RecordDecoder(Generic[T]):
     """Decodes the records of a topic one by one and leaves malformed ones out.
--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -1,7 +1,6 @@
 """UDP datagrams between hosts: heartbeats, and work assigned to engines."""
 
 import asyncio
-import ipaddress
 import logging
 import operator
 from collections.abc import Callable, Iterable, Sequence
@@ -11,7 +10,7 @@
 import msgspec
 import xxhash
 
-from lacewinglug.decoding import MalformedDataError, decode_msgpack
+from lacewinglug.decoding import MalformedDataError, decode_msgpack, is_ipv4_address
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.model import Stage
@@ -834,7 +833,7 @@
 
     :raises MalformedDataError: its address is invalid.
     """
-    if not (_is_ip_address(message.ip) and 0 < message.peer_port <= _MAX_PORT):
+    if not (is_ipv4_address(message.ip) and 0 < message.peer_port <= _MAX_PORT):
         raise MalformedDataError(
             f"host {message.name[:80]!r} has the invalid address "
             f"{message.ip[:80]!r}, port {message.peer_port}"
@@ -847,11 +846,3 @@
         zone=message.zone,
         client_address=message.client_address,
     )
-
-
-def _is_ip_address(text: str) -> bool:
-    try:
-        ipaddress.IPv4Address(text)
-    except ValueError:
-        return False
-    return True
--- a/lacewinglug/platform/calls.py
+++ b/lacewinglug/platform/calls.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -63,7 +64,8 @@
 
 
 class _PrefillResponse(msgspec.Struct, rename="pascal"):
-    transfer_handle: str
+    # Goes into a request target and a header.
+    transfer_handle: Annotated[str, msgspec.Meta(pattern="^[!-~]+$", max_length=256)]
     tokens: int = 0
 
 
--- a/lacewinglug/platform/records.py
+++ b/lacewinglug/platform/records.py
@@ -1,11 +1,12 @@
 """Records of the platform's store that the operator and the runners write."""
 
 import logging
+import re
 from typing import Annotated
 
 import msgspec
 
-from lacewinglug.decoding import MalformedDataError, decode_json
+from lacewinglug.decoding import MalformedDataError, decode_json, is_ipv4_address
 from lacewinglug.host.model import (
     Configuration,
     EngineProfile,
@@ -34,6 +35,7 @@
 }
 _Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 """The integers that hosts can send each other."""
+_HEADER_TOKEN = re.compile(r"[!-~]+")
 _STAGE_BY_NAME = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -139,8 +141,12 @@
     except (MalformedDataError, KeyError) as error:
         raise RecordError(f"invalid entry of runner {instance}: {error}") from None
     host, _, port = raw.address.rpartition(":")
-    if not host or not _is_port(port) or raw.slots < 1:
+    if not is_ipv4_address(host) or not _is_port(port) or raw.slots < 1:
         raise RecordError(f"invalid entry of runner {instance}: bad address or slots")
+    if not _HEADER_TOKEN.fullmatch(instance):
+        raise RecordError(
+            f"invalid key {instance!r} of a runner: no header can hold it"
+        )
     return RunnerEntry(
         instance=instance,
         service=raw.service,
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -105,6 +105,7 @@
         {"Slots": 0},
         {"State": "asleep"},
         {"Address": "nowhere"},
+        {"Address": "nowhere:80"},
         {"Address": "10.0.0.1:0"},
         {"Address": "10.0.0.1:65536"},
         {"Address": "10.0.0.1:0000809999"},
@@ -121,6 +122,18 @@
         decode_runner("i-1", encode(RUNNER | change))
 
 
+# Guards against requests that fail at the host, since a header cannot hold the key.
+@pytest.mark.parametrize("key", ["", "i 1", "i-1\r\nX: y", "i-\u00e9"])
+def test_an_entry_whose_key_no_header_can_hold_is_rejected(key):
+    with pytest.raises(RecordError, match="key"):
+        decode_runner(key, encode(RUNNER))
+
+
+@pytest.mark.parametrize("handle", ["", "h h", "h\r\nX: y", "h" * 300])
+def test_a_handle_that_no_header_can_hold_is_invalid(handle):
+    assert decode_prefill_response(encode({"TransferHandle": handle})) is None
+
+
 @pytest.mark.parametrize("data", [b"", b"{", b"\xff\xfe", b"[]", b"null", NESTED_JSON])
 def test_malformed_records_are_rejected(data):
     with pytest.raises(RecordError):
