End all tasks of a host before its event loop closes

Cause: on exit the tasks were cancelled and not awaited. Handlers that ended then started new tasks, such as the release of a KV cache, and these closed their connections after the loop was closed.

Change: the process waits for the handlers of its connections, then for what requests left behind until 0.99 of the grace period, cancels the rest, and closes its pools, store client and socket last.

Evidence: test_a_stopped_host_leaves_no_task_behind failed before, with a _delete_handle task that had not ended.

--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -135,7 +135,7 @@
         quarantine = self.state.quarantine
         quarantine.on_suspect = self._peers.queue_suspect
         quarantine.on_proven = self._peers.queue_proven
-        store = StoreClient(address=settings.store_address)
+        self._store = store = StoreClient(address=settings.store_address)
         self._store_watch = StoreWatcher(
             store=store,
             routes=self.state.routes,
@@ -237,11 +237,35 @@
             await self.stop_requested.wait()
             await self._shut_down()
         finally:
-            for task in (*tasks, *self.state.background_tasks):
-                task.cancel()
-            for listener in (*self._internal_listeners, self._client_listener):
-                listener.close()
-            self._peers.close()
+            await self._release(tasks)
+
+    async def _release(self, jobs: Iterable[asyncio.Task[None]]) -> None:
+        """End all tasks, then close all connections.
+
+        A task that outlives the event loop fails when it closes its connection. Those
+        that requests left behind, such as the release of a KV cache, get the rest of
+        the grace period.
+
+        :param jobs: tasks that never end by themselves.
+        """
+        listeners = (*self._internal_listeners, self._client_listener)
+        handlers = {task for item in listeners for task in item.registry.tasks}
+        for job in jobs:
+            job.cancel()
+        for listener in listeners:
+            listener.close()
+        await asyncio.gather(*jobs, *handlers, return_exceptions=True)
+        left_behind = self.state.background_tasks
+        schedule = self.state.shutdown
+        if left_behind and schedule is not None:
+            left_s = schedule.exit_by_s - self.state.now_s()
+            await asyncio.wait(left_behind, timeout=max(0.0, left_s))
+        for task in left_behind:
+            task.cancel()
+        await asyncio.gather(*left_behind, return_exceptions=True)
+        self.state.upstreams.close()
+        self._store.close()
+        self._peers.close()
 
     async def _keep_running(
         self, name: str, job: Callable[[], Awaitable[None]]
--- a/lacewinglug/host/shutdown.py
+++ b/lacewinglug/host/shutdown.py
@@ -9,6 +9,8 @@
 """Fraction of the grace period after which requests in progress are ended."""
 FLUSH_FRACTION = 0.98
 """Fraction of the grace period after which connections with unsent data are closed."""
+EXIT_FRACTION = 0.99
+"""Fraction of the grace period after which the process exits, whatever is left."""
 DURATION_WINDOW_S = 60.0
 """Time for which the duration of a request counts as typical of its route, in s."""
 
@@ -21,6 +23,7 @@
     :param accept_until_s: the host stops accepting connections.
     :param finish_by_s: requests in progress are ended.
     :param flush_by_s: connections with unsent data are closed.
+    :param exit_by_s: tasks that requests left behind are ended.
     :param notified_s: until then clients may not know that the host leaves, because
         they may cache addresses from before.
     """
@@ -29,6 +32,7 @@
     accept_until_s: float
     finish_by_s: float
     flush_by_s: float
+    exit_by_s: float
     notified_s: float
 
     @classmethod
@@ -45,6 +49,7 @@
             accept_until_s=now_s + grace_s * ACCEPT_FRACTION,
             finish_by_s=now_s + grace_s * FINISH_FRACTION,
             flush_by_s=now_s + grace_s * FLUSH_FRACTION,
+            exit_by_s=now_s + grace_s * EXIT_FRACTION,
             notified_s=now_s + address_ttl_s,
         )
 
--- a/lacewinglug/host/upstreams.py
+++ b/lacewinglug/host/upstreams.py
@@ -60,6 +60,11 @@
         for pool in self._pools.values():
             pool.close_stale()
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+
     def remove_departed(self, remaining: Iterable[str]) -> None:
         """Remove all runners but the given instances.
 
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -109,6 +109,8 @@
         response.
     :param on_end: called when a connection has ended, with its last request if that
         was received whole and its response is incomplete.
+    :param connections: open connections.
+    :param tasks: tasks that serve them; they may outlive their connection briefly.
     """
 
     handler: Handler
@@ -116,6 +118,7 @@
     close_after_response: bool = False
     on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     connections: set["ServerConnection"] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def make_connection(self) -> "ServerConnection":
         """Create the protocol of a new connection."""
@@ -187,6 +190,8 @@
         set_transport_timeouts(transport, CLIENT_TCP_TIMEOUTS)
         self._registry.connections.add(self)
         self._task = self._loop.create_task(self._serve_requests())
+        self._registry.tasks.add(self._task)
+        self._task.add_done_callback(self._registry.tasks.discard)
 
     def data_received(self, data: bytes) -> None:
         """Buffer data from the client; pause reading above the limit."""
--- a/tests/host/hosting.py
+++ b/tests/host/hosting.py
@@ -10,9 +10,12 @@
 
 @contextlib.asynccontextmanager
 async def running_host(settings):
-    """Run a host with the given settings; cancel it on exit."""
+    """Run a host with the given settings; cancel it on exit.
+
+    The attribute ``ended`` of the process is the task that runs it.
+    """
     process = HostProcess(settings=decode_settings(json.dumps(settings).encode()))
-    task = asyncio.create_task(process.run())
+    process.ended = task = asyncio.create_task(process.run())
     try:
         yield process
     finally:
--- a/tests/host/test_shutdown.py
+++ b/tests/host/test_shutdown.py
@@ -11,6 +11,7 @@
     ShutdownSchedule,
 )
 from tests.host.test_relay import make_app_runner, make_engines, running_scene
+from tests.platform.standin import FakeRunner
 
 GRACE_S = 2.0
 ADDRESS_TTL_S = 0.3
@@ -132,3 +133,36 @@
         await stop(scene)
         answer = await waiting
     assert (answer.status, answer.complete) == (504, True)
+
+
+class MutePrefiller(FakeRunner):
+    """Prefill engine that does not answer the release of a KV cache."""
+
+    async def handle(self, request, exchange):
+        if request.method == b"DELETE":
+            self.released_handles.append(request.target.decode())
+            await asyncio.sleep(600)
+        await super().handle(request, exchange)
+
+
+# Guards against tasks that outlive the event loop and end with a traceback in the log.
+async def test_a_stopped_host_leaves_no_task_behind():
+    _, engine = make_engines()
+    prefiller = MutePrefiller("reader-1", "llm", stage="prefill")
+    async with running_scene(prefiller, engine, bounds=BOUNDS) as scene:
+        tasks_before = asyncio.all_tasks()
+        engine.mode = "hang"
+        waiting = asyncio.create_task(scene.send_request("/ask/1"))
+        while not engine.runs:
+            await asyncio.sleep(0.01)
+        await stop(scene)
+        await scene.process.ended
+        state = scene.process.state
+        assert not state.background_tasks
+        assert scene.process._client_listener.registry.tasks == set()
+        assert len(prefiller.released_handles) == 1
+        assert (await waiting).status == 504
+        tasks_after = asyncio.all_tasks() - tasks_before
+        for fake in (scene.store, prefiller, engine):
+            tasks_after -= fake.registry.tasks
+        assert tasks_after == set()
