--- a/lacewinglug/report/explain.py
+++ b/lacewinglug/report/explain.py
@@ -15,6 +15,8 @@
     "not_configured": "the host had no configuration or no view of runners yet",
     "outdated": "no route matches, but other hosts had a later configuration version",
     "outcome_unknown": "a runner may have run the request; its answer was lost",
+    "host_leaves": "the host was shutting down and could not finish it in time",
+    "host_stops": "the host stopped while a runner worked on it",
     "quarantined": "requests with a part of its prompt crash engines; it was not run",
     "pushed_back": "all runners of the service had asked for a pause; it was not run",
     "refused": "the host refused the request before routing",
