Bound the time that one connection keeps the event loop

And whatever one read of the socket had brought, up to 256 KB, was parsed without once letting other tasks or timers run; 40,000 chunks of one byte take half a second in h11 alone, in responses and in requests.

--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -8,11 +8,15 @@
 from lacewinglug.wire.delivery import LONG_REQUEST_BYTES, DeliveryWatch
 from lacewinglug.wire.messages import Headers, Response, ResponseHead
 from lacewinglug.wire.sockets import UPSTREAM_TCP_TIMEOUTS, set_transport_timeouts
+from lacewinglug.wire.turns import LoopTurn
 
 MAX_READ_BUFFER_BYTES = 262_144
 """Buffered response bytes above which reading from the socket pauses."""
 MAX_RESPONSE_HEAD_BYTES = 32_768
 """Maximum size of a response head, in bytes; twice the limit for clients' requests."""
+MAX_CHUNK_BYTES = 4_096
+"""Maximum size of a body chunk that is handed on at once, in bytes, so that work on it
+takes a short time whatever its content."""
 
 
 class UpstreamError(Exception):
@@ -36,6 +40,8 @@
 
     def __init__(self) -> None:
         self._h11 = _make_h11_connection()
+        self._turn = LoopTurn()
+        self._unread_body = memoryview(b"")
         self._transport: asyncio.Transport | None = None
         self._input_event = asyncio.Event()
         self._is_lost = False
@@ -60,6 +66,7 @@
             self._error = "unsolicited data"
             self.abort()
             return
+        self._turn.begin()
         self._feed(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_READ_BUFFER_BYTES and self._transport is not None:
@@ -118,6 +125,7 @@
             method=method, target=target, headers=[*headers, *framing]
         )
         self._request_active = True
+        self._turn.begin()
         parts = [self._h11.send(request) or b""]
         if body:
             parts.append(self._h11.send(h11.Data(data=body)) or b"")
@@ -153,17 +161,28 @@
     async def read_body_chunk(self) -> bytes | None:
         """Return the next chunk of the body, None at the end of a complete body.
 
+        A chunk that the upstream has sent may be returned in several pieces.
+
         :raises UpstreamError: the body is truncated or malformed.
         """
+        if self._unread_body:
+            await self._turn.check()
+            return self._take_chunk()
         event = await self._next_event()
         match event:
             case h11.Data(data=data):
-                return bytes(data)
+                self._unread_body = memoryview(data)
+                return self._take_chunk()
             case h11.EndOfMessage():
                 return None
             case _:
                 raise UpstreamError("truncated response", sent=True)
 
+    def _take_chunk(self) -> bytes:
+        chunk = bytes(self._unread_body[:MAX_CHUNK_BYTES])
+        self._unread_body = self._unread_body[MAX_CHUNK_BYTES:]
+        return chunk
+
     async def read_response(
         self,
         *,
@@ -252,6 +271,7 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED] | None:
         while True:
+            await self._turn.check()
             self._input_event.clear()
             try:
                 event = self._h11.next_event()
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -17,6 +17,7 @@
     count_unread_bytes,
     set_transport_timeouts,
 )
+from lacewinglug.wire.turns import LoopTurn
 
 logger = logging.getLogger(__name__)
 
@@ -151,6 +152,7 @@
         self._registry = registry
         self._limits = registry.limits()
         self._h11 = _make_h11_connection(self._limits)
+        self._turn = LoopTurn()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._input_event = asyncio.Event()
@@ -201,6 +203,7 @@
             self._request_active = True
             self._request_started_s = self._loop.time()
             self._apply_limits()
+        self._turn.begin()
         self._feed(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_READ_BUFFER_BYTES and self._transport is not None:
@@ -335,6 +338,7 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another one may follow."""
+        self._turn.begin()
         try:
             request = await self._read_request()
         except RequestRejectedError as error:
@@ -449,6 +453,7 @@
             out.
         """
         while True:
+            await self._turn.check()
             self._input_event.clear()
             try:
                 event = self._h11.next_event()
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -18,6 +18,7 @@
     make_route,
 )
 from tests.platform.standin import FakeRunner
+from tests.turns import MAX_TURN_CPU_S, measure_longest_turn
 
 TEST_TIMEOUT_S = 40.0
 """Fails a test that waits for an event that never occurs; not a requirement."""
@@ -642,6 +643,17 @@
         assert prefiller.released_handles == ["h1"]
 
 
+# Guards against a host that stops for seconds while it reads an event without end.
+async def test_an_event_without_end_leaves_other_requests_running():
+    prefiller, flooding = make_engines()
+    flooding.mode = "flood"
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    async with running_scene(prefiller, flooding, other) as scene:
+        answer, turn_s = await measure_longest_turn(scene.send_request("/ask/1"))
+    assert (answer.status, answer.body, answer.complete) == (200, STREAM, True)
+    assert turn_s < MAX_TURN_CPU_S
+
+
 async def test_a_draining_runner_gets_no_new_work():
     leaving, staying = make_app_runner("app-1"), make_app_runner("app-2")
     async with running_scene(leaving, staying) as scene:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -168,9 +168,9 @@
     response; ``stall``, a stream without events after the first; ``pause``, an answer,
     or a stream after its first event, that comes after ``pause_s``; ``pause_first``,
     the same before the response head; ``trickle``, the same as ``stall`` with a byte
-    now and then; ``noise``, comments without end after the first event; ``hang``, no
-    response; ``stray``, a response to another request; or ``unsigned``, a response
-    without a signature.
+    now and then; ``noise``, comments without end after the first event; ``flood``, an
+    event without end after it, in small chunks; ``hang``, no response; ``stray``, a
+    response to another request; or ``unsigned``, a response without a signature.
 
     With ``leaving`` set each of its responses says that it leaves. ``retry_after`` is
     the value of ``Retry-After`` in responses with status 503, None for none.
@@ -316,6 +316,9 @@
                 await asyncio.sleep(600)
             if self.mode == "pause" and number == 2:
                 await asyncio.sleep(self.pause_s)
+            if self.mode == "flood" and number == 2:
+                await self._flood(exchange)
+                return
             if self.mode in ("trickle", "noise") and number == 2:
                 await self._send_noise(exchange)
                 return
@@ -329,6 +332,15 @@
             await exchange.write(piece)
             await asyncio.sleep(0.02)
 
+    async def _flood(self, exchange):
+        """Send an event without end in small chunks, as fast as it is read."""
+        transport = exchange._transport
+        piece = b"5\r\nxxxxx\r\n" * 4000
+        while True:
+            if transport.get_write_buffer_size() < len(piece):
+                transport.write(piece)
+            await asyncio.sleep(0.002)
+
     def response_headers(self, request, own_id=None):
         found = first_header(request.headers, b"x-lacewinglug-request-id")
         return (
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from lacewinglug.wire.client import ClientConnection, UpstreamError, open_connection
+from lacewinglug.wire.client import (
+    MAX_CHUNK_BYTES,
+    ClientConnection,
+    UpstreamError,
+    open_connection,
+)
+from tests.turns import MAX_TURN_CPU_S, measure_longest_turn
+from tests.wire.memory import MemoryTransport
 from tests.wire.upstream import HEAD, ScriptedUpstream, connect, send_request
 
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
@@ -106,6 +113,43 @@
     assert upstream.sent_bytes < 16_000_000, "the sockets hold what is not read"
 
 
+# Guards against a connection whose input stops a host: bytes that were there already
+# were read to their end before any other task ran.
+@pytest.mark.parametrize(
+    "stream",
+    [
+        b"HTTP/1.1 102 Processing\r\n\r\n" * 10_000,
+        CHUNKED + b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n",
+        CHUNKED + b"3\r\n:\n\n\r\n" * 30_000,
+    ],
+)
+async def test_input_in_small_pieces_leaves_other_tasks_running(stream):
+    connection = ClientConnection()
+    transport = MemoryTransport(connection)
+    send_request(connection)
+    transport.receive(stream)
+    transport.end()
+    _, turn_s = await measure_longest_turn(
+        connection.read_response(max_body_bytes=1_000_000)
+    )
+    assert turn_s < MAX_TURN_CPU_S
+
+
+async def test_a_long_chunk_is_returned_in_pieces():
+    body = bytes(range(256)) * 100
+    async with ScriptedUpstream(
+        HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    ) as upstream:
+        connection = await connect(upstream)
+        send_request(connection)
+        await connection.read_head()
+        pieces = []
+        while (piece := await connection.read_body_chunk()) is not None:
+            pieces.append(piece)
+    assert b"".join(pieces) == body
+    assert max(map(len, pieces)) <= MAX_CHUNK_BYTES
+
+
 async def test_interim_responses_without_end_leave_other_tasks_running():
     async with EndlessUpstream(
         b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 40
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -7,6 +7,8 @@
 
 from lacewinglug.wire.messages import Response, end_to_end_headers
 from lacewinglug.wire.server import ClientLimits, ConnectionRegistry, EndReason
+from tests.turns import MAX_TURN_CPU_S, measure_longest_turn
+from tests.wire.memory import MemoryTransport
 
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
 IDLE_S = 0.3
@@ -379,3 +381,23 @@
         headers, protected=frozenset({b"x-own"}), excluded={b"x-set"}
     )
     assert kept == ((b"Host", b"a"), (b"X-Own", b"2"), (b"Accept", b"*/*"))
+
+
+# Guards against a client that stops a host with a body in small pieces.
+async def test_a_body_in_small_pieces_leaves_other_tasks_running():
+    async def answer(request, exchange):
+        await exchange.respond(Response(status=200, body=b"%d" % len(request.body)))
+
+    registry = ConnectionRegistry(handler=answer, limits=ClientLimits)
+    transport = MemoryTransport(registry.make_connection())
+
+    async def exchange():
+        transport.receive(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n",
+        )
+        while not transport.written.endswith(b"40000"):
+            await asyncio.sleep(0)
+
+    _, turn_s = await measure_longest_turn(exchange())
+    assert turn_s < MAX_TURN_CPU_S
