Judge responses of runners by one table

Cause: calls and streams each decided what a status means. Streams looked for the signature and for a content coding at status 200 only, and passed on every other status below 500. A 200 that says it was not executed was streamed.

Change: host/verdicts.py has the table, and both relays match on its result: a success of any status from 200 to 299 needs the signature and no content coding, otherwise the outcome is unknown and another runner may be tried. An engine's list of cached parts counts with status 200 only.

On the old code test_a_success_without_a_signature_is_not_passed_on failed for prompts with 201, 203, 206 and 299 (calls passed), and test_an_unsigned_success_of_the_only_runner_is_an_unknown_outcome.

--- a/lacewinglug/host/caches.py
+++ b/lacewinglug/host/caches.py
@@ -17,6 +17,8 @@
 
 logger = logging.getLogger(__name__)
 
+_OK = 200
+
 PEER_UPDATE_TIMEOUT_S = 0.5
 """Time within which a running host sends a new one the cached parts of the engines,
 in seconds. If none has done so by then, the engines are queried."""
@@ -101,6 +103,12 @@
                 extra={"runner": entry.instance, "reason": str(error) or "timeout"},
             )
             return
+        if response.status != _OK:
+            logger.info(
+                "could not read the cached parts of an engine",
+                extra={"runner": entry.instance, "reason": f"status {response.status}"},
+            )
+            return
         parts = tuple(
             hash_part(item.model, item.part)
             for item in decode_cache_list(response.body)
--- a/lacewinglug/host/calls.py
+++ b/lacewinglug/host/calls.py
@@ -13,6 +13,7 @@
 from lacewinglug.host.crashes import CrashMonitor
 from lacewinglug.host.model import RunnerEntry
 from lacewinglug.host.plain import choose_plain_runner
+from lacewinglug.host.verdicts import Verdict, judge_response
 from lacewinglug.platform.headers import (
     decode_response_headers,
     encode_response_headers,
@@ -28,8 +29,6 @@
 """Fraction of the target latency after which a safe call is retried elsewhere."""
 REJECTED_RETRY_AFTER_S = 0.3
 """``Retry-After`` when the runners are full, in s; a few typical call durations."""
-_MIN_SERVER_ERROR = 500
-_SUCCESS_STATUSES = range(200, 300)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,9 +36,11 @@
     """A runner returned a complete response.
 
     :param response: the response for the client.
+    :param failed: whether it is an error of the runner.
     """
 
     response: Response
+    failed: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,8 +117,7 @@
                         reason = RefusalReason.UNREACHABLE
                         break
                     continue
-                case Answered(response=response):
-                    failed = response.status >= _MIN_SERVER_ERROR
+                case Answered(response=response, failed=failed):
                     if not failed:
                         return response
                     failure = response
@@ -175,8 +175,8 @@
                     attempt.close()
                 self._record_outcome(context, attempt, outcome)
                 match outcome:
-                    case Answered(response=response):
-                        if response.status < _MIN_SERVER_ERROR:
+                    case Answered(response=response, failed=failed):
+                        if not failed:
                             return response
                         failure = response
                         context.lifecycle.apply("lose")
@@ -289,23 +289,24 @@
         self, context: RequestContext, response: Response
     ) -> Outcome:
         metadata = decode_response_headers(response.headers)
-        if metadata.not_executed or response.status == 421:
-            context.lifecycle.apply("reject")
-            return NotExecuted()
-        if response.status in _SUCCESS_STATUSES and (
-            not metadata.signed or metadata.content_encoded
-        ):
-            context.lifecycle.apply("lose")
-            return Lost(reason="response is unsigned or has a content encoding")
+        verdict = judge_response(response.status, metadata)
+        match verdict:
+            case Verdict.NOT_EXECUTED:
+                context.lifecycle.apply("reject")
+                return NotExecuted()
+            case Verdict.UNVERIFIED:
+                context.lifecycle.apply("lose")
+                return Lost(reason="response is unsigned or has a content encoding")
+            case Verdict.SUCCESS:
+                now_s = self.state.now_s()
+                self.state.quarantine.record_answer(context.part_keys, now_s=now_s)
         context.lifecycle.apply("answer")
-        if response.status in _SUCCESS_STATUSES:
-            now_s = self.state.now_s()
-            self.state.quarantine.record_answer(context.part_keys, now_s=now_s)
         headers = encode_response_headers(response.headers)
         return Answered(
             response=Response(
                 status=response.status, headers=headers, body=response.body
-            )
+            ),
+            failed=verdict is Verdict.SERVER_ERROR,
         )
 
     def _attempt_timeout_s(self, context: RequestContext) -> float | None:
@@ -382,7 +383,7 @@
 
 def _is_failure(outcome: Outcome) -> bool:
     match outcome:
-        case Answered(response=response):
-            return response.status >= _MIN_SERVER_ERROR
+        case Answered(failed=failed):
+            return failed
         case _:
             return True
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -32,6 +32,7 @@
     MIN_FIRST_EVENT_TIMEOUT_S,
     PrefillClient,
 )
+from lacewinglug.host.verdicts import Verdict, judge_response
 from lacewinglug.platform.headers import (
     decode_response_headers,
     encode_response_headers,
@@ -51,7 +52,6 @@
 accepted; above it the request is refused."""
 MAX_RETRY_AFTER_S = 2.0
 """Maximum value of Retry-After for a refused request, in s."""
-_SERVER_ERROR = 500
 _OK = 200
 _DEFAULT_TARGET_GAP_S = 0.5
 _DATA_LINE = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
@@ -472,12 +472,15 @@
         first_event_timeout_s = self._first_event_timeout_s(context, progress, plan)
         async with asyncio.timeout(first_event_timeout_s):
             head = await attempt.read_head()
-        facts = decode_response_headers(head.headers)
-        if head.status != _OK:
-            response = await attempt.read_response(head, max_bytes=MAX_RESPONSE_BYTES)
-            return self._classify_response(context, progress, attempt, response)
-        if not facts.signed or facts.content_encoded:
+        metadata = decode_response_headers(head.headers)
+        verdict = judge_response(head.status, metadata)
+        if verdict is Verdict.UNVERIFIED:
             raise UpstreamError("response is unsigned or was re-encoded", sent=True)
+        if verdict is not Verdict.SUCCESS or head.status != _OK:
+            response = await attempt.read_response(head, max_bytes=MAX_RESPONSE_BYTES)
+            return self._classify_response(
+                context, progress, attempt, response, verdict
+            )
         if not progress.head_sent:
             context.lifecycle.apply("answer")
         splitter = attempt.splitter
@@ -552,17 +555,16 @@
         progress: _StreamProgress,
         attempt: Attempt,
         response: Response,
+        verdict: Verdict,
     ) -> _AttemptFailed | Response:
         """Classify a response that is not a stream: final or to be retried."""
-        facts = decode_response_headers(response.headers)
         now_s = self.state.now_s()
-        if facts.not_executed or response.status == 421:
+        if verdict is Verdict.NOT_EXECUTED:
             context.lifecycle.apply("reject")
             attempt.health.record_result(failed=True, now_s=now_s)
             return _AttemptFailed(reason=f"not executed {response.status}")
-        attempt.health.record_result(
-            failed=response.status >= _SERVER_ERROR, now_s=now_s
-        )
+        failed = verdict is Verdict.SERVER_ERROR
+        attempt.health.record_result(failed=failed, now_s=now_s)
         answer = Response(
             status=response.status,
             headers=encode_response_headers(response.headers),
@@ -572,7 +574,9 @@
             context.lifecycle.apply("lose")
             return _AttemptFailed(reason=f"resume request answered {response.status}")
         context.lifecycle.apply("answer")
-        if response.status < _SERVER_ERROR or not context.lifecycle.idempotent:
+        if verdict is Verdict.SUCCESS:
+            self._record_answer(context)
+        if not failed or not context.lifecycle.idempotent:
             return answer
         context.lifecycle.apply("lose")
         progress.failure_response = answer
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -654,6 +654,34 @@
     assert turn_s < MAX_TURN_CPU_S
 
 
+# Guards against an unsigned success that only a check for status 200 would find.
+@pytest.mark.parametrize("status", [200, 201, 203, 206, 299])
+@pytest.mark.parametrize("path", ["/ask/1", "/status/"])
+async def test_a_success_without_a_signature_is_not_passed_on(path, status):
+    prefiller, engine = make_engines()
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    plain, spare = make_app_runner("app-1"), make_app_runner("app-2")
+    for runner in (engine, plain):
+        runner.mode, runner.unsigned_status = "unsigned", status
+    async with running_scene(prefiller, engine, other, plain, spare) as scene:
+        for _ in range(4):
+            answer = await scene.send_request(path, method="POST")
+            assert answer.status == 200
+            assert answer.headers["x-lacewinglug-response-signature"] in (
+                "runner-2",
+                "app-2",
+            )
+    assert engine.runs or plain.runs
+
+
+async def test_an_unsigned_success_of_the_only_runner_is_an_unknown_outcome():
+    prefiller, engine = make_engines()
+    engine.mode, engine.unsigned_status = "unsigned", 206
+    async with running_scene(prefiller, engine) as scene:
+        answer = await scene.send_request("/notes/1")
+    assert (answer.status, len(engine.runs)) == (502, 1)
+
+
 async def test_a_draining_runner_gets_no_new_work():
     leaving, staying = make_app_runner("app-1"), make_app_runner("app-2")
     async with running_scene(leaving, staying) as scene:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -170,7 +170,8 @@
     the same before the response head; ``trickle``, the same as ``stall`` with a byte
     now and then; ``noise``, comments without end after the first event; ``flood``, an
     event without end after it, in small chunks; ``hang``, no response; ``stray``, a
-    response to another request; or ``unsigned``, a response without a signature.
+    response to another request; or ``unsigned``, a response without a signature with
+    the status ``unsigned_status``.
 
     With ``leaving`` set each of its responses says that it leaves. ``retry_after`` is
     the value of ``Retry-After`` in responses with status 503, None for none.
@@ -188,6 +189,7 @@
         self.event_count = event_count
         self.mode = "serve"
         self.pause_s = 0.0
+        self.unsigned_status = 200
         self.leaving = False
         self.retry_after = None
         self.received = []
@@ -290,7 +292,7 @@
                 await exchange.write(b"do")
                 exchange.abort()
             case "unsigned":
-                await exchange.respond(Response(status=200, body=b"done"))
+                await exchange.respond(self.make_unsigned_response(request))
             case "stray":
                 self.mode = "serve"
                 await exchange.respond(
@@ -354,6 +356,17 @@
         """Return the headers with which it says what it wants of a host."""
         return ((b"X-Lacewinglug-Server-Leaving", b"1"),) if self.leaving else ()
 
+    def make_unsigned_response(self, request):
+        """Return a success that lacks the signature, with the id of the request."""
+        headers = [
+            item
+            for item in self.response_headers(request)
+            if item[0] != b"X-Lacewinglug-Response-Signature"
+        ]
+        return Response(
+            status=self.unsigned_status, headers=tuple(headers), body=b"done"
+        )
+
     def make_response(self, request, status, *, rejected=False, own_id=None):
         headers = self.response_headers(request, own_id)
         if rejected:
