Resume streams at engines that had them if the next engine rejects late

Callers saw a stream end after its first events although every engine was sound and the route's timeout was far away.

Cause: an engine that is silent for twice the target gap is given up 0.3 s after the stream was sent to another one, since two engines may not run it. The other one may still reject it later: it was silent itself, could not fetch the KV cache, or changes its stage. The route's attempts were then used up, nobody ran the stream any more and the connection was closed. The class of the fault: what is sound is given up before its replacement has taken over, with no way back.

The limit on attempts is one of engines that get a request. A stream that has begun is now resumed at the engines that had it, with a growing interval, within the retry budget and the time left. It ends at once if these have left.

--- a/lacewinglug/host/placing.py
+++ b/lacewinglug/host/placing.py
@@ -1,6 +1,6 @@
 """Places prompts on engines, from the host's current view of the engines."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field, replace
 
 from lacewinglug.host.context import HostState, RequestContext
@@ -72,7 +72,11 @@
     _planners: dict[str, PromptPlanner] = field(default_factory=dict)
 
     def place(
-        self, context: RequestContext, *, allow_disaggregated: bool
+        self,
+        context: RequestContext,
+        *,
+        allow_disaggregated: bool,
+        among: Collection[str] | None = None,
     ) -> Placement | None:
         """Return the best placement, None if no engine can decode.
 
@@ -80,8 +84,10 @@
         a higher priority.
 
         :param allow_disaggregated: whether prefill may run on a separate engine.
+        :param among: instances to choose from, whether tried or not; all by default,
+            those that the request has tried last.
         """
-        snapshot = self._take_snapshot(context)
+        snapshot = self._take_snapshot(context, among=among)
         job = _make_job(context, snapshot)
         plan = self._plan(
             context, snapshot, job, allow_disaggregated=allow_disaggregated
@@ -188,16 +194,22 @@
             allow_disaggregated=allow_disaggregated,
         )
 
-    def _take_snapshot(self, context: RequestContext) -> _EngineSnapshot:
+    def _take_snapshot(
+        self, context: RequestContext, *, among: Collection[str] | None = None
+    ) -> _EngineSnapshot:
         """Return the current state of the service's engines."""
         now_s = self.state.now_s()
         profile = context.service.engine or EngineProfile()
         entries = self.state.notices.accepting(context.service.name, now_s=now_s)
+        tried: Collection[str] = context.tried_instances
+        if among is not None:
+            entries = tuple(item for item in entries if item.instance in among)
+            tried = ()
         accounts = self.state.engines.track(entries, profile)
         return _EngineSnapshot(
             now_s=now_s,
             accounts=accounts,
-            avoided=self._avoided_instances(context, accounts, now_s),
+            avoided=self._avoided_instances(tried, accounts, now_s),
             loads=self._loads(entries, profile, now_s),
             speeds=self.state.engines.speeds(context.service.name),
             longest_target_s=self.state.routes.longest_target_s(context.service.name),
@@ -205,20 +217,20 @@
 
     def _avoided_instances(
         self,
-        context: RequestContext,
+        tried: Collection[str],
         accounts: Sequence[TrackedEngine],
         now_s: float,
     ) -> set[str]:
         """Return the engines to use only if there is no alternative.
 
-        These are engines that this request has tried, engines that are changing
+        These are engines that the request has tried, engines that are changing
         their stage, and engines that the health tracker blocks.
         """
         health = self.state.upstreams.health
         return {
             account.entry.instance
             for account in accounts
-            if account.entry.instance in context.tried_instances
+            if account.entry.instance in tried
             or account.stage_change_until_s > now_s
             or health(account.entry.instance).is_blocked(now_s)
         }
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -20,6 +20,7 @@
 )
 from lacewinglug.host.crashes import ANSWER_START_S, CrashMonitor
 from lacewinglug.host.events import Event, EventTooLongError
+from lacewinglug.host.model import Stage
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.plans import (
     ColocatedPlan,
@@ -47,6 +48,9 @@
 MAX_OVERLAP_S = 0.3
 """Time after sending to another engine for which a silent one may go on, in s. Most
 rejections arrive within it; later both engines would run the request."""
+MIN_RESUME_INTERVAL_S = 0.1
+"""Time after which a stream is resumed again at an engine that it was sent to before,
+in s; doubles with each try."""
 MAX_EXPECTED_TTFT_SHARE = 1.0
 """Share of the remaining time up to which the expected time to the first event is
 accepted; above it the request is refused."""
@@ -73,6 +77,7 @@
     :param backlog_number: number of the prompt in the backlog of the engine that runs
         both prefill and decode, None if it is not queued there.
     :param may_fail_over: whether a silent engine is given up for another one.
+    :param engines: instances to which the stream was sent.
     :param silent: attempts whose engines fell silent, until another one goes on.
     """
 
@@ -85,6 +90,7 @@
     priority: int = 5
     backlog_number: int | None = None
     may_fail_over: bool = True
+    engines: set[str] = field(default_factory=set)
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
@@ -259,8 +265,55 @@
                     return None
                 case Response():
                     return result
+        if await self._resume_at_earlier_engines(context, progress, exchange):
+            return None
         return self._final_failure(context, progress, reason)
 
+    async def _resume_at_earlier_engines(
+        self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
+    ) -> bool:
+        """Resume a stream that has begun at engines to which it was sent before.
+
+        The limit on attempts is a limit on engines. An engine that was given up since
+        it was silent may be sound, and one that rejected the stream may accept it.
+
+        :returns: whether the stream was relayed to its end.
+        """
+        pause_s = 0.0
+        while self._may_resume_at_earlier_engines(context, progress):
+            await asyncio.sleep(pause_s)
+            pause_s = max(MIN_RESUME_INTERVAL_S, 2 * pause_s)
+            placement = self.placer.place(
+                context, allow_disaggregated=False, among=progress.engines
+            )
+            if placement is None or not self._try_spend_retry(context):
+                continue
+            progress.priority = placement.priority
+            result = await self._attempt_plan(
+                context, progress, placement.plan, exchange
+            )
+            self._trace_result(context, progress, result)
+            if isinstance(result, _Completed):
+                return True
+        return False
+
+    def _may_resume_at_earlier_engines(
+        self, context: RequestContext, progress: _StreamProgress
+    ) -> bool:
+        now_s = self.state.now_s()
+        return (
+            progress.head_sent
+            and progress.may_resume
+            and context.lifecycle.may_send
+            and not context.crashed_engine
+            and context.remaining_s(now_s) > 0
+            and self.state.find_quarantined(context) is None
+            and any(
+                entry.instance in progress.engines and entry.stage is not Stage.PREFILL
+                for entry in self.state.fleet.ready(context.service.name)
+            )
+        )
+
     def _trace_result(
         self,
         context: RequestContext,
@@ -403,6 +456,7 @@
             attempt.close()
             raise
         context.attempt_count += 1
+        progress.engines.add(engine.entry.instance)
         context.lifecycle.apply("send")
         progress.limit_overlap()
         return await self._relay_attempt(context, progress, plan, exchange, attempt)
@@ -658,9 +712,13 @@
             return True
         return (
             context.attempt_count < context.route.max_attempts
-            and self.state.retry_budget(context.service.name).try_spend(
-                now_s=now_s, host_count=self.state.count_hosts()
-            )
+            and self._try_spend_retry(context)
+        )
+
+    def _try_spend_retry(self, context: RequestContext) -> bool:
+        """Count a retry against the budget of the service, if that allows it."""
+        return self.state.retry_budget(context.service.name).try_spend(
+            now_s=self.state.now_s(), host_count=self.state.count_hosts()
         )
 
     def _final_failure(
--- a/tests/host/change_play.py
+++ b/tests/host/change_play.py
@@ -49,6 +49,7 @@
     "unframed": 10,
     "unframed_silent": 4,
     "reject": 14,
+    "reject_late": 6,
     "break": 4,
 }
 """Ways in which a runner handles a request, with their weights."""
@@ -69,7 +70,9 @@
     async def serve(self, request, exchange):
         way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
         silence_s = self.rng.uniform(*SILENCE_S)
-        if way == "reject":
+        if way == "reject_late":
+            await asyncio.sleep(silence_s)
+        if way.startswith("reject"):
             await exchange.respond(self.make_response(request, 503, rejected=True))
             return
         if way == "silent":
@@ -104,7 +107,9 @@
 
     async def prefill(self, request, exchange):
         way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
-        if way == "reject":
+        if way == "reject_late":
+            await asyncio.sleep(self.rng.uniform(*SILENCE_S))
+        if way.startswith("reject"):
             await exchange.respond(self.make_response(request, 503, rejected=True))
         elif way == "break":
             exchange.abort()
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -7,6 +7,7 @@
 
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR, MAX_OVERLAP_S
+from lacewinglug.wire.messages import first_header
 from lacewinglug.wire.server import ServerConnection
 from tests.host.hosting import running_host
 from tests.platform.scene import (
@@ -535,6 +536,116 @@
         assert silent.cancelled_count == 0
 
 
+class LateReject(FakeRunner):
+    """Rejects requests to resume a stream, the first one after a silence.
+
+    :param late_s: that silence, in s; longer than the overlap limit by default.
+    :param reject_count: number of requests that it rejects.
+    """
+
+    def __init__(self, *args, late_s=MAX_OVERLAP_S + 0.2, reject_count=1, **fields):
+        super().__init__(*args, **fields)
+        self.late_s = late_s
+        self.reject_count = reject_count
+
+    async def run(self, request, exchange):
+        resumed = first_header(request.headers, b"last-event-id")
+        if resumed:
+            self.pause_s = 0.0
+        if not resumed or not self.reject_count:
+            await super().run(request, exchange)
+            return
+        self.received.append(request)
+        self.reject_count -= 1
+        late_s, self.late_s = self.late_s, 0.0
+        await asyncio.sleep(late_s)
+        await exchange.respond(self.make_response(request, 503, rejected=True))
+
+
+def make_late_engines(*, late_count, silent_count):
+    """Return an engine that falls silent, and one that rejects its stream late.
+
+    :param late_count: number of requests that the latter rejects.
+    :param silent_count: the same of the former, when the stream returns to it.
+    """
+    silent = LateReject(
+        "runner-1", "llm", stage="decode", late_s=0.0, reject_count=silent_count
+    )
+    silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.6
+    late = LateReject(
+        "runner-2", "llm", stage="decode", zone="qc-a", reject_count=late_count
+    )
+    return silent, late
+
+
+def running_long_stream_scene(*runners):
+    routes = [make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=4000)]
+    return running_scene(*runners, configuration=make_configuration(routes=routes))
+
+
+async def send_long_stream(scene):
+    return await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="4000")
+
+
+# Guards against a stream that is cut since the next engine rejects it after the silent
+# one was given up.
+@pytest.mark.parametrize(("late_count", "silent_count"), [(1, 0), (3, 2), (100, 1)])
+async def test_a_stream_goes_on_at_a_silent_engine_if_the_next_one_rejects_late(
+    late_count, silent_count
+):
+    silent, late = make_late_engines(late_count=late_count, silent_count=silent_count)
+    async with running_long_stream_scene(silent, late) as scene:
+        answer = await send_long_stream(scene)
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert silent.cancelled_count == 1
+
+
+# Guards against sending a stream to more engines than its route has attempts.
+async def test_a_stream_is_resumed_only_at_engines_that_had_it():
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    others = [
+        FakeRunner(f"runner-{number}", "llm", stage="decode", zone="qc-a")
+        for number in (3, 4)
+    ]
+    for other in others:
+        other.mode = "reject"
+    async with running_long_stream_scene(silent, late, *others) as scene:
+        answer = await send_long_stream(scene)
+        assert not answer.complete
+        runners = [silent, late, *others]
+        assert sum(bool(runner.received) for runner in runners) == 2
+
+
+# Guards against holding a stream that no engine may get again.
+async def test_a_stream_ends_at_once_if_all_engines_that_had_it_have_left():
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        loop = asyncio.get_running_loop()
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        started_s = loop.time()
+        for runner in (silent, late):
+            await scene.store.put(
+                "keyed.servers", runner.instance, runner.entry("draining")
+            )
+        answer = await request
+        assert not answer.complete
+        assert loop.time() - started_s < late.late_s + MAX_OVERLAP_S + 1.0
+
+
+# Guards against a stream that is resumed again and again without a pause.
+async def test_a_stream_is_resumed_within_the_retry_budget():
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        answer = await send_long_stream(scene)
+        assert not answer.complete
+        budget = scene.process.state.retry_budget("llm")
+        spent = len(budget._retries)
+        assert len(silent.received) + len(late.received) <= 1 + spent
+        assert spent <= 8
+
+
 # Guards against a request that two engines run at the same time.
 async def test_a_silent_engine_is_given_up_soon_after_another_one_has_the_request():
     prefiller, silent = make_engines()
