Wait for runners whose machine acknowledges nothing for a second

Callers got 502 or 504 from a sound runner, or a cut stream, if its machine had answered nothing at all for a second or so, not even with an acknowledgement.

Cause: connections to runners had a TCP user timeout of 1 s and keep-alive probes that ended after 2 s, so that another runner could still respond. The kernel ended the connection instead of handing the request over: a short silence was taken for the end of the machine. Measured with a socket filter that drops all packets: a request sent into a silence of 1.0 s or more was lost after 1.42 s, one that was awaited when a silence of 1.3 s began 0.9 s after it was lost after 2.03 s.

The connection now ends after 3 s (long requests: 2 s). What relied on the short timeout, a request that another runner may run, checks after a second whether the kernel awaits an acknowledgement, and then counts the runner as silent: the attempt stays open while another one begins.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -42,6 +42,9 @@
 
 CONNECT_TIMEOUT_S = 0.5
 """Timeout of connecting to a runner, in s; about ten round trips between regions."""
+MAX_UNDELIVERED_S = 1.0
+"""Time after which a runner counts as silent if its machine has not acknowledged the
+request, in s; longer than three retransmissions of a lost packet."""
 ENGINE_CALL_TIMEOUT_S = 1.0
 """Timeout of the host's own calls to an engine, in s."""
 REPORT_MARGIN_S = 0.05
@@ -356,6 +359,26 @@
                 return head
             await self._discard_stale_response()
 
+    async def read_head_in_time(self, timeout_s: float | None) -> ResponseHead:
+        """Return the response head of this request, if it comes in time.
+
+        A runner whose machine does not even acknowledge the request gets less time.
+
+        :param timeout_s: time to wait, None for no limit.
+        :raises UpstreamError: as in :meth:`read_head`.
+        :raises TimeoutError: the runner is silent.
+        """
+        if timeout_s is not None and timeout_s > MAX_UNDELIVERED_S:
+            try:
+                async with asyncio.timeout(MAX_UNDELIVERED_S):
+                    return await self.read_head()
+            except TimeoutError:
+                if self._connection is not None and self._connection.is_undelivered:
+                    raise TimeoutError("not acknowledged") from None
+            timeout_s -= MAX_UNDELIVERED_S
+        async with asyncio.timeout(timeout_s):
+            return await self.read_head()
+
     async def wait_for_input(self) -> None:
         """Wait until more of the response has arrived, or the connection has ended."""
         assert self._connection is not None
--- a/lacewinglug/host/prefills.py
+++ b/lacewinglug/host/prefills.py
@@ -57,7 +57,7 @@
                 )
             )
             async with asyncio.timeout(timeout_s):
-                head = await attempt.read_head()
+                head = await attempt.read_head_in_time(timeout_s)
                 response = await attempt.read_response(
                     head, max_bytes=MAX_RESPONSE_BYTES
                 )
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -524,8 +524,7 @@
         :raises EventTooLongError: an event exceeds the size limit.
         """
         first_event_timeout_s = self._first_event_timeout_s(context, progress, plan)
-        async with asyncio.timeout(first_event_timeout_s):
-            head = await attempt.read_head()
+        head = await attempt.read_head_in_time(first_event_timeout_s)
         metadata = decode_response_headers(head.headers)
         verdict = judge_response(head.status, metadata)
         if verdict is Verdict.UNVERIFIED:
--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -5,9 +5,17 @@
 
 import h11
 
-from lacewinglug.wire.delivery import LONG_REQUEST_BYTES, DeliveryWatch
+from lacewinglug.wire.delivery import (
+    LONG_REQUEST_BYTES,
+    DeliveryWatch,
+    read_ack_state,
+)
 from lacewinglug.wire.messages import Headers, Response, ResponseHead
-from lacewinglug.wire.sockets import UPSTREAM_TCP_TIMEOUTS, set_transport_timeouts
+from lacewinglug.wire.sockets import (
+    UPSTREAM_TCP_TIMEOUTS,
+    count_unacknowledged_bytes,
+    set_transport_timeouts,
+)
 from lacewinglug.wire.turns import LoopTurn
 
 MAX_READ_BUFFER_BYTES = 262_144
@@ -93,6 +101,22 @@
         """Whether the connection can carry another request."""
         return not self._is_lost and self._error is None and not self._is_closing
 
+    @property
+    def is_undelivered(self) -> bool:
+        """Whether the upstream's machine owes an acknowledgement of the request."""
+        if self._transport is None:
+            return False
+        connection = self._transport.get_extra_info("socket")
+        if connection is None:
+            return False
+        state = read_ack_state(connection)
+        if state is not None:
+            return state.is_awaited
+        # A long request may only be waiting for room in the receive window.
+        return self._delivery_watch is None and bool(
+            count_unacknowledged_bytes(connection)
+        )
+
     @property
     def _is_closing(self) -> bool:
         return self._transport is None or self._transport.is_closing()
--- a/lacewinglug/wire/delivery.py
+++ b/lacewinglug/wire/delivery.py
@@ -25,8 +25,11 @@
 """User timeout while a long request is on its way, in s. Longer than any silence of a
 sound upstream, and all there is where the kernel does not tell about acknowledgements.
 """
+ACK_TIMEOUT_S = 2.0
+"""Time without an expected acknowledgement of a long request after which the upstream
+counts as dead, in s. Several retransmissions fit into it."""
 CHECK_INTERVAL_S = 0.1
-"""Interval of checking for acknowledgements, in s; short against the user timeout."""
+"""Interval of checking for acknowledgements, in s; short against their timeout."""
 MIN_UNANSWERED_PROBES = 3
 """Unanswered window probes after which a peer may be dead. A live one may leave two
 unanswered: its kernel limits the rate of such answers, and one may be lost."""
@@ -34,6 +37,7 @@
 _TCP_INFO = struct.Struct("=8B14I")
 """The first fields of Linux's ``struct tcp_info``, from ``include/uapi/linux/tcp.h``.
 """
+_STATE = 0
 _PROBES = 3
 _UNACKED_PACKETS = 12
 _LAST_DATA_SENT_MS = 17
@@ -57,7 +61,7 @@
 
     :param transport: transport of the connection.
     :param timeouts: timeouts of the connection while no long request is on its way.
-    :param on_dead: called if the peer acknowledged nothing for the user timeout.
+    :param on_dead: called if the peer acknowledges nothing in time.
     """
 
     def __init__(
@@ -117,7 +121,7 @@
             self._awaited_since_s
         ):
             self._awaited_since_s = now_s
-        elif now_s - self._awaited_since_s >= self._timeouts.user_timeout_s:
+        elif now_s - self._awaited_since_s >= ACK_TIMEOUT_S:
             self._on_dead()
 
     def _has_delivered(self, connection: socket.socket) -> bool:
@@ -138,6 +142,9 @@
     if len(data) < _TCP_INFO.size:
         return None
     fields = _TCP_INFO.unpack(data)
+    if not fields[_STATE]:
+        # No connection is in state 0: nothing was filled in.
+        return None
     sent_since = fields[_LAST_DATA_SENT_MS] < fields[_LAST_ACK_RECEIVED_MS]
     return AckState(
         is_awaited=(fields[_UNACKED_PACKETS] > 0 and sent_since)
--- a/lacewinglug/wire/sockets.py
+++ b/lacewinglug/wire/sockets.py
@@ -41,11 +41,11 @@
 UPSTREAM_TCP_TIMEOUTS = TcpTimeouts(
     keepalive_idle_s=1,
     keepalive_interval_s=1,
-    keepalive_probe_count=2,
-    user_timeout_s=1,
+    keepalive_probe_count=3,
+    user_timeout_s=3,
 )
-"""Detects an unresponsive upstream while another one can still respond in time. One
-second is longer than three retransmissions of a lost packet."""
+"""Closes connections to dead upstreams. The machine of a live one may acknowledge
+nothing for a second or two; a request that may run elsewhere does not wait so long."""
 
 
 def set_tcp_timeouts(
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -7,10 +7,12 @@
 
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import GAP_TIMEOUT_FACTOR, MAX_OVERLAP_S
+from lacewinglug.wire.delivery import LONG_REQUEST_BYTES
 from lacewinglug.wire.messages import first_header
 from lacewinglug.wire.server import ServerConnection
 from tests.host.hosting import running_host
 from tests.platform.scene import (
+    LIMITS,
     HostTestbed,
     connect,
     directory_addresses,
@@ -20,11 +22,16 @@
 )
 from tests.platform.standin import FakeRunner
 from tests.turns import MAX_TURN_CPU_S, measure_longest_turn
+from tests.wire.upstream import drop_packets, keep_packets
 
 TEST_TIMEOUT_S = 40.0
 """Fails a test that waits for an event that never occurs; not a requirement."""
 TARGET_GAP_S = 0.4
 """Target gap between events of the streaming routes of the test deployment."""
+FREEZE_S = 1.3
+"""Time for which the machine of a sound runner may acknowledge nothing."""
+MAX_DETECTION_S = 2.0
+"""Time in which a dead machine is found, so that another runner can respond."""
 READ_PAUSE_S = 1.5
 """Time for which a sound runner may be silent."""
 LONG_PART_BYTES = 8_192
@@ -88,6 +95,42 @@
             loop.call_later(self._pause_s, self._transport.resume_reading)
 
 
+class FrozenRunner(FakeRunner):
+    """Runner whose machine acknowledges nothing at first.
+
+    :param frozen_s: how long after its first connection for requests, in s; None for
+        ever.
+    """
+
+    def __init__(self, *args, frozen_s=None, **fields):
+        super().__init__(*args, **fields)
+        self._frozen_s = frozen_s
+        self._is_frozen = False
+        self.frozen_connections = 0
+        self.registry.make_connection = self._make_connection
+
+    def freeze(self):
+        """Freeze the machine when the next connection is made."""
+        self._is_frozen = True
+
+    def _make_connection(self):
+        connection = ServerConnection(registry=self.registry)
+        if self._is_frozen:
+            accept = connection.connection_made
+            connection.connection_made = lambda transport: self._drop(accept, transport)
+        return connection
+
+    def _drop(self, accept, transport):
+        sock = transport.get_extra_info("socket")
+        drop_packets(sock)
+        self.frozen_connections += 1
+        if self._frozen_s is not None:
+            self._is_frozen = False
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._frozen_s, keep_packets, sock)
+        accept(transport)
+
+
 def make_engines():
     return (
         FakeRunner("reader-1", "llm", stage="prefill"),
@@ -438,6 +481,60 @@
 GAP_TIMEOUT_S = GAP_TIMEOUT_FACTOR * TARGET_GAP_S
 
 
+# Guards against losing a request at a sound runner whose machine was frozen a second.
+@pytest.mark.parametrize("path", ["/unlock/7", "/notes/1"])
+async def test_a_runner_whose_machine_freezes_for_a_while_is_waited_for(path):
+    app = FrozenRunner("app-1", "app", frozen_s=FREEZE_S)
+    engine = FrozenRunner("runner-1", "llm", stage="decode", frozen_s=FREEZE_S)
+    routes = [
+        make_route("unlock", "unsafe", "app", MaxAttempts=1, TimeoutMs=8000),
+        make_route("notes", "streaming", "llm", MaxAttempts=1, TimeoutMs=8000),
+    ]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(app, engine, configuration=configuration) as scene:
+        app.freeze()
+        engine.freeze()
+        answer = await scene.send_request(path, X_Lacewinglug_Deadline_Ms="8000")
+        assert (answer.status, answer.complete) == (200, True)
+        assert len(app.runs) + len(engine.runs) == 1
+
+
+# Guards against finding dead machines late for the sake of those that are frozen.
+@pytest.mark.parametrize(
+    "body", [b"hi", b"x" * (LONG_REQUEST_BYTES // 2), LONG_BODY], ids=len
+)
+@pytest.mark.parametrize("path", ["/status/", "/ask/1"])
+async def test_another_runner_responds_in_time_if_the_machine_of_one_is_dead(
+    path, body
+):
+    dead = [
+        FrozenRunner("app-1", "app"),
+        FrozenRunner("runner-1", "llm", stage="decode"),
+    ]
+    others = [
+        FakeRunner("app-2", "app", zone="qc-a"),
+        FakeRunner("runner-2", "llm", stage="decode", zone="qc-a"),
+    ]
+    routes = [
+        make_route("status", "safe", "app", TimeoutMs=8000),
+        make_route("ask", "streaming", "llm", Resumable=True, TimeoutMs=8000),
+    ]
+    configuration = make_configuration(routes=routes)
+    configuration["Limits"] = LIMITS | {"MaxBodyBytes": len(LONG_BODY)}
+    async with running_scene(*dead, *others, configuration=configuration) as scene:
+        for runner in dead:
+            runner.freeze()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await scene.send_request(
+            path, body=body, X_Lacewinglug_Deadline_Ms="8000"
+        )
+        assert (answer.status, answer.complete) == (200, True)
+        assert loop.time() - started_s < MAX_DETECTION_S
+        assert sum(runner.frozen_connections for runner in dead) >= 1
+        assert all(runner.runs == [] for runner in dead)
+
+
 # Regression tests: a sound engine that was silent for a second was given up, and the
 # stream was cut (or the request refused) although the engine went on.
 @pytest.mark.parametrize(
