Log on which side of a stream its relay waited longest

The line `request ended` now has the longest wait on each side. The new test fails without the fields.

--- a/lacewinglug/host/reporting.py
+++ b/lacewinglug/host/reporting.py
@@ -53,6 +53,8 @@
     :param configuration_version: configuration that it was routed by.
     :param view_age_s: age of the view of runners when it was routed, in s.
     :param steps: decisions in order, each with its inputs.
+    :param longest_upstream_wait_s: longest wait for data of a stream, in s.
+    :param longest_client_wait_s: longest wait until the client took data of it, in s.
     """
 
     request_id: str
@@ -62,6 +64,13 @@
     configuration_version: int = -1
     view_age_s: float = -1.0
     steps: list[dict[str, object]] = field(default_factory=list)
+    longest_upstream_wait_s: float = 0.0
+    longest_client_wait_s: float = 0.0
+
+    def record_waits(self, *, upstream_s: float = 0.0, client_s: float = 0.0) -> None:
+        """Record how long the relay of a stream waited on either side, in s."""
+        self.longest_upstream_wait_s = max(self.longest_upstream_wait_s, upstream_s)
+        self.longest_client_wait_s = max(self.longest_client_wait_s, client_s)
 
     def add_step(self, step: str, *, now_s: float, **inputs: object) -> None:
         """Append a decision.
@@ -214,6 +223,8 @@
                 "service": trace.service,
                 "configuration_version": trace.configuration_version,
                 "view_age_s": round(trace.view_age_s, 3),
+                "longest_upstream_wait_ms": round(trace.longest_upstream_wait_s * 1000),
+                "longest_client_wait_ms": round(trace.longest_client_wait_s * 1000),
                 "steps": trace.steps,
             },
         )
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -541,8 +541,13 @@
         next_event_by_s = _add_timeout(loop.time(), first_event_timeout_s)
         answer_recorded = False
         while True:
-            async with asyncio.timeout_at(next_event_by_s):
-                chunk = await attempt.read_chunk()
+            waits_since_s = self.state.now_s()
+            try:
+                async with asyncio.timeout_at(next_event_by_s):
+                    chunk = await attempt.read_chunk()
+            finally:
+                waited_s = self.state.now_s() - waits_since_s
+                context.trace.record_waits(upstream_s=waited_s)
             if chunk is None:
                 break
             events = _undelivered(splitter.feed(chunk), progress.last_event_id)
@@ -600,7 +605,12 @@
                 progress.unnumbered_sent = True
         data = b"".join(event.data for event in events)
         if data:
-            await exchange.write(data)
+            written_s = self.state.now_s()
+            try:
+                await exchange.write(data)
+            finally:
+                waited_s = self.state.now_s() - written_s
+                context.trace.record_waits(client_s=waited_s)
 
     def _classify_response(
         self,
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 import pytest
 
@@ -557,6 +558,18 @@
         assert silent.cancelled_count == 0
 
 
+async def test_the_log_line_of_a_stream_says_on_which_side_it_stood_still(caplog):
+    pause_s = 0.3
+    engine = FakeRunner("runner-1", "llm", stage="decode")
+    engine.mode, engine.pause_s = "pause", pause_s
+    with caplog.at_level(logging.INFO):
+        async with running_scene(engine) as scene:
+            await scene.send_request("/ask/1")
+    (ended,) = [item for item in caplog.records if item.message == "request ended"]
+    assert pause_s * 1000 <= ended.longest_upstream_wait_ms < 2 * pause_s * 1000
+    assert ended.longest_client_wait_ms < pause_s * 1000
+
+
 async def test_a_silent_engine_is_waited_for_if_the_retry_budget_is_used_up():
     prefiller, silent = make_engines()
     silent.mode, silent.pause_s = "pause", GAP_TIMEOUT_S + 0.4
