Resume a stream elsewhere only after a silence that no sound engine shows

Callers saw streams cut, or run twice in part, because of engines that were silent for a second and went on.

Cause: a stream was sent to another engine after twice the target gap, 0.8 s or 1 s in the deployments, and the first one was closed 0.3 s later; a sound engine may be silent for longer. Giving it up is what opens the way to a cut when the next engine rejects the stream, and each needless resumption uses up the retry budget just when many engines are silent.

The limit is now two seconds, or half of the time left if that is shorter, and never below twice the target gap. Two seconds is what a first event had already. A stream whose engine is dead resumes up to a second later; the pause that its client notices was over the target gap before, too.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -43,8 +43,11 @@
 from lacewinglug.wire.server import Exchange
 
 GAP_TIMEOUT_FACTOR = 2.0
-"""Multiple of the route's target gap between events after which a resumable stream
-is resumed on another engine."""
+"""Least multiple of the route's target gap between events after which a resumable
+stream is resumed on another engine."""
+SOUND_SILENCE_S = 2.0
+"""Time for which a sound engine may be silent, in s; a stream is resumed elsewhere only
+after it, or after half of the time left if that is shorter."""
 MAX_OVERLAP_S = 0.3
 """Time after sending to another engine for which a silent one may go on, in s. Most
 rejections arrive within it; later both engines would run the request."""
@@ -690,9 +693,9 @@
         """Return the timeout of the next event, None if no retry is possible."""
         if not self._may_fail_over(context, progress):
             return None
-        return (
-            context.route.target_gap_s or _DEFAULT_TARGET_GAP_S
-        ) * GAP_TIMEOUT_FACTOR
+        target_gap_s = context.route.target_gap_s or _DEFAULT_TARGET_GAP_S
+        half_left_s = context.remaining_s(self.state.now_s()) / 2
+        return max(target_gap_s * GAP_TIMEOUT_FACTOR, min(SOUND_SILENCE_S, half_left_s))
 
     def _may_fail_over(
         self, context: RequestContext, progress: _StreamProgress
