Keep a retry in reserve before a silent engine is given up

Callers of a host with a small share of the retry budget could still see a stream cut, or held until its timeout, after a late rejection.

Cause: the way back to the engines of a stream needs a second retry. With 1.5 retries left the first one gave the silent engine up and nothing was left to return. Besides, the way back preferred the engine that had just rejected the stream, waited ever longer, and counted engines that had broken it off.

A silent engine is now given up only if a second retry is left; else it is waited for. The stream returns to the engines in turn, the one that rejected it last comes last, at most half a second apart, and only where an engine was given up because of its silence. The log has a step `retry denied`.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -51,9 +51,11 @@
 MAX_OVERLAP_S = 0.3
 """Time after sending to another engine for which a silent one may go on, in s. Most
 rejections arrive within it; later both engines would run the request."""
-MIN_RESUME_INTERVAL_S = 0.1
-"""Time after which a stream is resumed again at an engine that it was sent to before,
-in s; doubles with each try."""
+MIN_RETURN_INTERVAL_S = 0.1
+"""Time after which a stream returns once more to engines that it was sent to before, in
+s; doubles with each try."""
+MAX_RETURN_INTERVAL_S = 0.5
+"""Upper bound of that time, in s."""
 MAX_EXPECTED_TTFT_SHARE = 1.0
 """Share of the remaining time up to which the expected time to the first event is
 accepted; above it the request is refused."""
@@ -80,7 +82,9 @@
     :param backlog_number: number of the prompt in the backlog of the engine that runs
         both prefill and decode, None if it is not queued there.
     :param may_fail_over: whether a silent engine is given up for another one.
-    :param engines: instances to which the stream was sent.
+    :param gave_up_engine: whether an engine was given up only since it was silent.
+    :param earlier_engines: instances of the engines that were given up so, or that
+        rejected the stream; the last one comes last.
     :param silent: attempts whose engines fell silent, until another one goes on.
     """
 
@@ -93,7 +97,8 @@
     priority: int = 5
     backlog_number: int | None = None
     may_fail_over: bool = True
-    engines: set[str] = field(default_factory=set)
+    gave_up_engine: bool = False
+    earlier_engines: list[str] = field(default_factory=list)
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
@@ -119,7 +124,20 @@
         """Close the attempts whose engines fell silent."""
         self.lift_overlap_limit()
         while self.silent:
-            self.silent.pop().give_up()
+            silent = self.silent.pop()
+            silent.give_up()
+            self.gave_up_engine = True
+            self.add_earlier_engine(silent.attempt.entry.instance)
+
+    def add_earlier_engine(self, instance: str) -> None:
+        """Add an engine to which the stream may return."""
+        self.remove_earlier_engine(instance)
+        self.earlier_engines.append(instance)
+
+    def remove_earlier_engine(self, instance: str) -> None:
+        """Remove an engine that broke off the stream."""
+        if instance in self.earlier_engines:
+            self.earlier_engines.remove(instance)
 
 
 @dataclass(kw_only=True)
@@ -268,11 +286,11 @@
                     return None
                 case Response():
                     return result
-        if await self._resume_at_earlier_engines(context, progress, exchange):
+        if await self._return_to_engines(context, progress, exchange):
             return None
         return self._final_failure(context, progress, reason)
 
-    async def _resume_at_earlier_engines(
+    async def _return_to_engines(
         self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
     ) -> bool:
         """Resume a stream that has begun at engines to which it was sent before.
@@ -283,14 +301,22 @@
         :returns: whether the stream was relayed to its end.
         """
         pause_s = 0.0
-        while self._may_resume_at_earlier_engines(context, progress):
+        while engines := self._engines_to_return_to(context, progress):
             await asyncio.sleep(pause_s)
-            pause_s = max(MIN_RESUME_INTERVAL_S, 2 * pause_s)
-            placement = self.placer.place(
-                context, allow_disaggregated=False, among=progress.engines
+            pause_s = min(
+                max(MIN_RETURN_INTERVAL_S, 2 * pause_s), MAX_RETURN_INTERVAL_S
+            )
+            if self._retries_left(context) < 1:
+                context.trace.add_step("retry denied", now_s=self.state.now_s())
+                continue
+            placements = (
+                self.placer.place(context, allow_disaggregated=False, among={engine})
+                for engine in engines
             )
-            if placement is None or not self._try_spend_retry(context):
+            placement = next((item for item in placements if item is not None), None)
+            if placement is None:
                 continue
+            self._try_spend_retry(context)
             progress.priority = placement.priority
             result = await self._attempt_plan(
                 context, progress, placement.plan, exchange
@@ -300,22 +326,25 @@
                 return True
         return False
 
-    def _may_resume_at_earlier_engines(
+    def _engines_to_return_to(
         self, context: RequestContext, progress: _StreamProgress
-    ) -> bool:
-        now_s = self.state.now_s()
-        return (
-            progress.head_sent
-            and progress.may_resume
-            and context.lifecycle.may_send
-            and not context.crashed_engine
-            and context.remaining_s(now_s) > 0
-            and self.state.find_quarantined(context) is None
-            and any(
-                entry.instance in progress.engines and entry.stage is not Stage.PREFILL
-                for entry in self.state.fleet.ready(context.service.name)
-            )
-        )
+    ) -> list[str]:
+        """Return the engines that a stream may be sent to again, empty for none."""
+        if (
+            not (progress.head_sent and progress.may_resume)
+            or not progress.gave_up_engine
+            or not context.lifecycle.may_send
+            or context.crashed_engine
+            or context.remaining_s(self.state.now_s()) <= 0
+            or self.state.find_quarantined(context) is not None
+        ):
+            return []
+        ready = {
+            entry.instance
+            for entry in self.state.fleet.ready(context.service.name)
+            if entry.stage is not Stage.PREFILL
+        }
+        return [item for item in progress.earlier_engines if item in ready]
 
     def _trace_result(
         self,
@@ -459,7 +488,6 @@
             attempt.close()
             raise
         context.attempt_count += 1
-        progress.engines.add(engine.entry.instance)
         context.lifecycle.apply("send")
         progress.limit_overlap()
         return await self._relay_attempt(context, progress, plan, exchange, attempt)
@@ -485,6 +513,8 @@
             silent = isinstance(error, TimeoutError)
             context.lifecycle.apply("lose")
             attempt.health.record_incomplete(silent=silent, now_s=self.state.now_s())
+            if not silent:
+                progress.remove_earlier_engine(attempt.entry.instance)
             if isinstance(error, UpstreamError) and self._is_beginning(attempt):
                 attempt.close()
                 # Only silent engines run the request during the check.
@@ -628,6 +658,7 @@
         if verdict is Verdict.NOT_EXECUTED:
             context.lifecycle.apply("reject")
             attempt.health.record_result(failed=True, now_s=now_s)
+            progress.add_earlier_engine(attempt.entry.instance)
             return _AttemptFailed(reason=f"not executed {response.status}")
         failed = verdict is Verdict.SERVER_ERROR
         attempt.health.record_result(failed=failed, now_s=now_s)
@@ -722,9 +753,18 @@
             and context.attempt_count == 0
         ):
             return True
-        return (
-            context.attempt_count < context.route.max_attempts
-            and self._try_spend_retry(context)
+        if context.attempt_count >= context.route.max_attempts:
+            return False
+        # The next engine may reject the stream after a silent one was given up.
+        reserve = 1 if progress.silent and progress.head_sent else 0
+        return self._retries_left(context) >= 1 + reserve and self._try_spend_retry(
+            context
+        )
+
+    def _retries_left(self, context: RequestContext) -> float:
+        """Return how many retries the budget of the service allows now."""
+        return self.state.retry_budget(context.service.name).remaining(
+            now_s=self.state.now_s(), host_count=self.state.count_hosts()
         )
 
     def _try_spend_retry(self, context: RequestContext) -> bool:
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from lacewinglug.host.budget import USABLE_SLACK_FRACTION
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import (
     GAP_TIMEOUT_FACTOR,
     MAX_OVERLAP_S,
+    MAX_RETURN_INTERVAL_S,
     SOUND_SILENCE_S,
 )
 from lacewinglug.wire.delivery import LONG_REQUEST_BYTES
@@ -741,6 +743,18 @@
         assert sum(bool(runner.received) for runner in runners) == 2
 
 
+# Guards against giving up a silent engine without a retry left for the way back.
+@pytest.mark.parametrize("retries", [1.5, 2.5])
+async def test_a_silent_engine_is_given_up_only_with_a_retry_in_reserve(retries):
+    silent, late = make_late_engines(late_count=1, silent_count=0)
+    async with running_long_stream_scene(silent, late) as scene:
+        budget = scene.process.state.retry_budget("llm")
+        budget.ratio, budget.slack = 0.0, retries / USABLE_SLACK_FRACTION
+        answer = await send_long_stream(scene)
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert bool(late.received) == (retries > 2)
+
+
 # Guards against sending a stream elsewhere although its sound engine goes on in time.
 @pytest.mark.parametrize("silence_s", [0.7, 1.0, 1.3, 1.5])
 async def test_a_stream_stays_at_an_engine_that_is_silent_for_a_second(silence_s):
@@ -779,7 +793,8 @@
         budget = scene.process.state.retry_budget("llm")
         spent = len(budget._retries)
         assert len(silent.received) + len(late.received) <= 1 + spent
-        assert spent <= 8
+        # One to the next engine, three at growing intervals, the others at the longest.
+        assert spent <= 4 + (LONG_TIMEOUT_S - SOUND_SILENCE_S) / MAX_RETURN_INTERVAL_S
 
 
 # Guards against a request that two engines run at the same time.
