--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -20,6 +20,7 @@
 )
 from lacewinglug.host.crashes import ANSWER_START_S, CrashMonitor
 from lacewinglug.host.events import Event, EventTooLongError
+from lacewinglug.host.model import Stage
 from lacewinglug.host.placing import PromptPlacer
 from lacewinglug.host.plans import (
     ColocatedPlan,
@@ -42,11 +43,19 @@
 from lacewinglug.wire.server import Exchange
 
 GAP_TIMEOUT_FACTOR = 2.0
-"""Multiple of the route's target gap between events after which a resumable stream
-is resumed on another engine."""
+"""Least multiple of the route's target gap between events after which a resumable
+stream is resumed on another engine."""
+SOUND_SILENCE_S = 2.0
+"""Time for which a sound engine may be silent, in s; a stream is resumed elsewhere only
+after it, or after half of the time left if that is shorter."""
 MAX_OVERLAP_S = 0.3
 """Time after sending to another engine for which a silent one may go on, in s. Most
 rejections arrive within it; later both engines would run the request."""
+MIN_RETURN_INTERVAL_S = 0.1
+"""Time after which a stream returns once more to engines that it was sent to before, in
+s; doubles with each try."""
+MAX_RETURN_INTERVAL_S = 0.5
+"""Upper bound of that time, in s."""
 MAX_EXPECTED_TTFT_SHARE = 1.0
 """Share of the remaining time up to which the expected time to the first event is
 accepted; above it the request is refused."""
@@ -73,6 +82,9 @@
     :param backlog_number: number of the prompt in the backlog of the engine that runs
         both prefill and decode, None if it is not queued there.
     :param may_fail_over: whether a silent engine is given up for another one.
+    :param gave_up_engine: whether an engine was given up only since it was silent.
+    :param earlier_engines: instances of the engines that were given up so, or that
+        rejected the stream; the last one comes last.
     :param silent: attempts whose engines fell silent, until another one goes on.
     """
 
@@ -85,6 +97,8 @@
     priority: int = 5
     backlog_number: int | None = None
     may_fail_over: bool = True
+    gave_up_engine: bool = False
+    earlier_engines: list[str] = field(default_factory=list)
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
@@ -110,7 +124,20 @@
         """Close the attempts whose engines fell silent."""
         self.lift_overlap_limit()
         while self.silent:
-            self.silent.pop().give_up()
+            silent = self.silent.pop()
+            silent.give_up()
+            self.gave_up_engine = True
+            self.add_earlier_engine(silent.attempt.entry.instance)
+
+    def add_earlier_engine(self, instance: str) -> None:
+        """Add an engine to which the stream may return."""
+        self.remove_earlier_engine(instance)
+        self.earlier_engines.append(instance)
+
+    def remove_earlier_engine(self, instance: str) -> None:
+        """Remove an engine that broke off the stream."""
+        if instance in self.earlier_engines:
+            self.earlier_engines.remove(instance)
 
 
 @dataclass(kw_only=True)
@@ -259,8 +286,66 @@
                     return None
                 case Response():
                     return result
+        if await self._return_to_engines(context, progress, exchange):
+            return None
         return self._final_failure(context, progress, reason)
 
+    async def _return_to_engines(
+        self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
+    ) -> bool:
+        """Resume a stream that has begun at engines to which it was sent before.
+
+        The limit on attempts is a limit on engines. An engine that was given up since
+        it was silent may be sound, and one that rejected the stream may accept it.
+
+        :returns: whether the stream was relayed to its end.
+        """
+        pause_s = 0.0
+        while engines := self._engines_to_return_to(context, progress):
+            await asyncio.sleep(pause_s)
+            pause_s = min(
+                max(MIN_RETURN_INTERVAL_S, 2 * pause_s), MAX_RETURN_INTERVAL_S
+            )
+            if self._retries_left(context) < 1:
+                context.trace.add_step("retry denied", now_s=self.state.now_s())
+                continue
+            placements = (
+                self.placer.place(context, allow_disaggregated=False, among={engine})
+                for engine in engines
+            )
+            placement = next((item for item in placements if item is not None), None)
+            if placement is None:
+                continue
+            self._try_spend_retry(context)
+            progress.priority = placement.priority
+            result = await self._attempt_plan(
+                context, progress, placement.plan, exchange
+            )
+            self._trace_result(context, progress, result)
+            if isinstance(result, _Completed):
+                return True
+        return False
+
+    def _engines_to_return_to(
+        self, context: RequestContext, progress: _StreamProgress
+    ) -> list[str]:
+        """Return the engines that a stream may be sent to again, empty for none."""
+        if (
+            not (progress.head_sent and progress.may_resume)
+            or not progress.gave_up_engine
+            or not context.lifecycle.may_send
+            or context.crashed_engine
+            or context.remaining_s(self.state.now_s()) <= 0
+            or self.state.find_quarantined(context) is not None
+        ):
+            return []
+        ready = {
+            entry.instance
+            for entry in self.state.fleet.ready(context.service.name)
+            if entry.stage is not Stage.PREFILL
+        }
+        return [item for item in progress.earlier_engines if item in ready]
+
     def _trace_result(
         self,
         context: RequestContext,
@@ -428,6 +513,8 @@
             silent = isinstance(error, TimeoutError)
             context.lifecycle.apply("lose")
             attempt.health.record_incomplete(silent=silent, now_s=self.state.now_s())
+            if not silent:
+                progress.remove_earlier_engine(attempt.entry.instance)
             if isinstance(error, UpstreamError) and self._is_beginning(attempt):
                 attempt.close()
                 # Only silent engines run the request during the check.
@@ -470,8 +557,7 @@
         :raises EventTooLongError: an event exceeds the size limit.
         """
         first_event_timeout_s = self._first_event_timeout_s(context, progress, plan)
-        async with asyncio.timeout(first_event_timeout_s):
-            head = await attempt.read_head()
+        head = await attempt.read_head_in_time(first_event_timeout_s)
         metadata = decode_response_headers(head.headers)
         verdict = judge_response(head.status, metadata)
         if verdict is Verdict.UNVERIFIED:
@@ -488,8 +574,13 @@
         next_event_by_s = _add_timeout(loop.time(), first_event_timeout_s)
         answer_recorded = False
         while True:
-            async with asyncio.timeout_at(next_event_by_s):
-                chunk = await attempt.read_chunk()
+            waits_since_s = self.state.now_s()
+            try:
+                async with asyncio.timeout_at(next_event_by_s):
+                    chunk = await attempt.read_chunk()
+            finally:
+                waited_s = self.state.now_s() - waits_since_s
+                context.trace.record_waits(upstream_s=waited_s)
             if chunk is None:
                 break
             events = _undelivered(splitter.feed(chunk), progress.last_event_id)
@@ -547,7 +638,12 @@
                 progress.unnumbered_sent = True
         data = b"".join(event.data for event in events)
         if data:
-            await exchange.write(data)
+            written_s = self.state.now_s()
+            try:
+                await exchange.write(data)
+            finally:
+                waited_s = self.state.now_s() - written_s
+                context.trace.record_waits(client_s=waited_s)
 
     def _classify_response(
         self,
@@ -562,6 +658,7 @@
         if verdict is Verdict.NOT_EXECUTED:
             context.lifecycle.apply("reject")
             attempt.health.record_result(failed=True, now_s=now_s)
+            progress.add_earlier_engine(attempt.entry.instance)
             return _AttemptFailed(reason=f"not executed {response.status}")
         failed = verdict is Verdict.SERVER_ERROR
         attempt.health.record_result(failed=failed, now_s=now_s)
@@ -627,9 +724,9 @@
         """Return the timeout of the next event, None if no retry is possible."""
         if not self._may_fail_over(context, progress):
             return None
-        return (
-            context.route.target_gap_s or _DEFAULT_TARGET_GAP_S
-        ) * GAP_TIMEOUT_FACTOR
+        target_gap_s = context.route.target_gap_s or _DEFAULT_TARGET_GAP_S
+        half_left_s = context.remaining_s(self.state.now_s()) / 2
+        return max(target_gap_s * GAP_TIMEOUT_FACTOR, min(SOUND_SILENCE_S, half_left_s))
 
     def _may_fail_over(
         self, context: RequestContext, progress: _StreamProgress
@@ -656,11 +753,24 @@
             and context.attempt_count == 0
         ):
             return True
-        return (
-            context.attempt_count < context.route.max_attempts
-            and self.state.retry_budget(context.service.name).try_spend(
-                now_s=now_s, host_count=self.state.count_hosts()
-            )
+        if context.attempt_count >= context.route.max_attempts:
+            return False
+        # The next engine may reject the stream after a silent one was given up.
+        reserve = 1 if progress.silent and progress.head_sent else 0
+        return self._retries_left(context) >= 1 + reserve and self._try_spend_retry(
+            context
+        )
+
+    def _retries_left(self, context: RequestContext) -> float:
+        """Return how many retries the budget of the service allows now."""
+        return self.state.retry_budget(context.service.name).remaining(
+            now_s=self.state.now_s(), host_count=self.state.count_hosts()
+        )
+
+    def _try_spend_retry(self, context: RequestContext) -> bool:
+        """Count a retry against the budget of the service, if that allows it."""
+        return self.state.retry_budget(context.service.name).try_spend(
+            now_s=self.state.now_s(), host_count=self.state.count_hosts()
         )
 
     def _final_failure(
