Compare crashes by engine and time, not by engine only

Cause: a crash counted as explained by another part if both parts had crashed the same engine, whenever that was. An engine's key is a hash of its instance and start time, and hosts may learn the new start time only after the next crash. The same comparison stood at two more places: parts that crashed the same engines at different times were held to be indistinguishable and tested at once, and the rank of a part counted its engines, not its crashes.

Change: Crash.is_same compares engine and time (SAME_CRASH_S), wherever crashes are compared. That is how reports on one part were told apart already. Crashes that are explained are kept by engine, and parts whose last crashes are apart are told apart first, so that an update takes no longer.

--- a/lacewinglug/host/quarantine.py
+++ b/lacewinglug/host/quarantine.py
@@ -3,8 +3,10 @@
 import logging
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
+from types import MappingProxyType
 
 from lacewinglug.host.residency import format_part
 
@@ -63,6 +65,15 @@
     engine: int
     at_s: float
 
+    def is_same(self, other: "Crash") -> bool:
+        """Return whether both are reports on one crash.
+
+        An engine can crash again before hosts know its new start time, so the engine
+        alone does not tell.
+        """
+        same_engine = self.engine == other.engine
+        return same_engine and abs(self.at_s - other.at_s) < SAME_CRASH_S
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SuspectReport:
@@ -122,11 +133,7 @@
     @property
     def strength(self) -> tuple[bool, int, int]:
         """Evidence against the part, in the order in which it counts."""
-        return (not self.proven, self.count_separate(), len(self.engines))
-
-    @property
-    def engines(self) -> set[int]:
-        return {crash.engine for crash in self.crashes}
+        return (not self.proven, self.count_separate(), len(self.crashes))
 
     @property
     def may_be_tested(self) -> bool:
@@ -146,21 +153,33 @@
 
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it was unknown."""
-        for known in self.crashes:
-            same_engine = known.engine == crash.engine
-            if same_engine and abs(known.at_s - crash.at_s) < SAME_CRASH_S:
-                return False
+        if _is_among(crash, self.crashes):
+            return False
         self.crashes.append(crash)
         self.crashes.sort(key=lambda item: item.at_s)
         del self.crashes[:-MAX_CRASHES_PER_PART]
         return True
 
-    def count_separate(self, explained: Collection[int] = ()) -> int:
-        """Return the number of crashes that are apart and not explained otherwise."""
+    def has_same_crashes(self, other: "_Suspect") -> bool:
+        """Return whether the same crashes speak against another part."""
+        if len(self.crashes) != len(other.crashes):
+            return False
+        # This alone tells most parts apart, in a fraction of the time.
+        if abs(self.crashes[-1].at_s - other.crashes[-1].at_s) >= SAME_CRASH_S:
+            return False
+        return all(_is_among(crash, other.crashes) for crash in self.crashes)
+
+    def count_separate(
+        self, explained: Mapping[int, Sequence[Crash]] = MappingProxyType({})
+    ) -> int:
+        """Return the number of crashes that are apart and not explained otherwise.
+
+        :param explained: crashes that another part explains, by engine.
+        """
         count = 0
         group_start_s = float("-inf")
         for crash in self.crashes:
-            if crash.engine in explained:
+            if _is_among(crash, explained.get(crash.engine, ())):
                 continue
             if crash.at_s - group_start_s > COMMON_CAUSE_S:
                 count += 1
@@ -370,7 +389,7 @@
         groups: dict[tuple[bool, int, int], list[int]] = {}
         for part, suspect in self._suspects.items():
             groups.setdefault(suspect.strength, []).append(part)
-        explained: set[int] = set()
+        explained: dict[int, list[Crash]] = {}
         for strength in sorted(groups, reverse=True):
             found = []
             for part in groups[strength]:
@@ -384,8 +403,8 @@
                 suspect = self._suspects[part]
                 if suspect in found:
                     self._quarantine(part, suspect, found, now_s=now_s)
-            for suspect in found:
-                explained |= suspect.engines
+            for crash in chain.from_iterable(item.crashes for item in found):
+                explained.setdefault(crash.engine, []).append(crash)
 
     def _quarantine(
         self, part: int, suspect: _Suspect, found: Sequence[_Suspect], *, now_s: float
@@ -395,7 +414,7 @@
         Where the same crashes speak against several parts, a request with only one of
         them is admitted at once, since it tells which.
         """
-        suspect.ambiguous = sum(item.engines == suspect.engines for item in found) > 1
+        suspect.ambiguous = sum(map(suspect.has_same_crashes, found)) > 1
         if not suspect.quarantined:
             suspect.quarantined = True
             self._set_next_trial(suspect, FIRST_TRIAL_S, now_s=now_s)
@@ -429,6 +448,10 @@
         suspect.next_trial_at_s = now_s + interval_s * extension
 
 
+def _is_among(crash: Crash, crashes: Iterable[Crash]) -> bool:
+    return any(crash.is_same(known) for known in crashes)
+
+
 def _make_report(part: int, suspect: _Suspect, *, now_s: float) -> SuspectReport:
     return SuspectReport(
         part=part,
--- a/tests/host/test_quarantine.py
+++ b/tests/host/test_quarantine.py
@@ -107,6 +107,16 @@
     assert sorted(quarantine.quarantined_parts()) == sorted([DEADLY, OTHER])
 
 
+# Guards against trials at once of parts that crashed the same engines at other times.
+def test_parts_of_different_crashes_of_the_same_engines_get_no_trial(quarantine):
+    for part, first_s in ((DEADLY, 1.0), (OTHER, 6.0)):
+        crash(quarantine, part, engine=10, at_s=first_s)
+        crash(quarantine, part, engine=11, at_s=first_s + 1.0)
+    assert sorted(quarantine.quarantined_parts()) == sorted([DEADLY, OTHER])
+    for part in (DEADLY, OTHER):
+        assert isinstance(quarantine.admit([part], now_s=8.0), Quarantined)
+
+
 def test_trial_tells_two_parts_of_the_same_crashes_apart(quarantine):
     crash(quarantine, SOUND, DEADLY, engine=10, at_s=1.0)
     crash(quarantine, SOUND, DEADLY, engine=11, at_s=3.0)
