Keep separate crashes of one engine when a relay merges reports

Cause: a relay that got reports on one part from two hosts for the same bundle merged their crashes by engine only. Of two crashes of an engine whose key had not changed, it kept one.

Change: the merge compares engine and time (SAME_CRASH_S), as quarantine does. The number of crashes in a message stays bounded by MAX_CRASHES_PER_PART.

Evidence: on the code before, test_bundle_keeps_separate_crashes_of_one_engine failed: the bundle had two of the three crashes. All tests of tests/host/test_peers.py pass now.

--- a/lacewinglug/host/peers.py
+++ b/lacewinglug/host/peers.py
@@ -14,7 +14,11 @@
 from lacewinglug.host.engines import EngineWork
 from lacewinglug.host.hosts import HostIdentity, HostTable
 from lacewinglug.host.model import Stage
-from lacewinglug.host.quarantine import MAX_CRASHES_PER_PART, SuspectReport
+from lacewinglug.host.quarantine import (
+    MAX_CRASHES_PER_PART,
+    SAME_CRASH_S,
+    SuspectReport,
+)
 from lacewinglug.host.residency import HashedPart
 from lacewinglug.host.sharing import ViewUpdate
 from lacewinglug.host.speeds import PrefillWork, SharedSpeed, SpeedSums
@@ -633,8 +637,7 @@
             crashes = _age_crashes(
                 message.crashes, by_ms=round((now_s - added_s) * 1000)
             )
-            # Several hosts report the same crash.
-            merged = dict([*suspect.crashes, *crashes]).items()
+            merged = _merge_crashes(crashes, suspect.crashes)
             newest = sorted(merged, key=operator.itemgetter(1))[:MAX_CRASHES_PER_PART]
             suspect = msgspec.structs.replace(
                 suspect,
@@ -730,6 +733,20 @@
     return [(engine, age_ms + by_ms) for engine, age_ms in crashes]
 
 
+def _merge_crashes(
+    crashes: Sequence[tuple[int, int]], others: Iterable[tuple[int, int]]
+) -> list[tuple[int, int]]:
+    """Return all crashes, those once that several hosts report."""
+    merged = list(crashes)
+    for engine, age_ms in others:
+        if not any(
+            known == engine and abs(known_ms - age_ms) < SAME_CRASH_S * 1000
+            for known, known_ms in merged
+        ):
+            merged.append((engine, age_ms))
+    return merged
+
+
 def _to_suspect_message(report: SuspectReport) -> _SuspectMessage:
     return _SuspectMessage(
         part=report.part,
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -11,7 +11,9 @@
 from lacewinglug.host.peers import (
     AdvertisedState,
     PeerProtocol,
+    _Bundle,
     _Datagram,
+    _SuspectMessage,
     decode_identity,
     encode_identity,
 )
@@ -45,6 +47,17 @@
     assert table.peers == []
 
 
+# Guards against a relay that drops one of two crashes of the same engine.
+def test_bundle_keeps_separate_crashes_of_one_engine():
+    bundle = _Bundle()
+    for crashes in ([(10, 5000), (11, 1000)], [(10, 300), (11, 990)]):
+        suspect = _SuspectMessage(part=1, crashes=crashes)
+        bundle.add(_Datagram(suspects=[suspect]), now_s=0.0)
+    [message] = bundle.take(now_s=0.0)
+    [suspect] = message.suspects
+    assert suspect.crashes == [(10, 300), (11, 1000), (10, 5000)]
+
+
 # Guards against a datagram socket that is closed for all hosts once a heartbeat goes to
 # an address that no socket takes.
 @pytest.mark.parametrize(("ip", "port"), [("10.0.0.2", 70_000), ("a..b", 7380)])
