Suspect parts of a crash wherever they stand in the prompt

Cause: of each request that a crash interrupted, record_crash suspected the first MAX_PARTS_PER_CRASH (32) parts that no answer had proved sound, in the order of the prompt. A part behind them was left out each time.

Change: of a request with more parts, those of most earlier crashes are suspected, then random ones, so no place in the prompt is left out each time. The host keeps the crashes of the other parts for itself. They count once the part is suspected, because it recurs in a crash at this host or another host reports it, and are then told to the others. An answer or an hour ends them. So crashes that one host sees are intersected in full, and of several hosts that see one crash each it suffices that one chooses the part after the first.

What is sent and kept stays bounded: 32 reports for a lost request as before, at most one more of each other host for each of these, and 8192 parts (MAX_LEFT_OUT_PARTS); the headers of a request limit its parts to less. A larger limit of parts was weighed: a whole header of new parts would take, by estimate, over a hundred datagrams a crash.

--- a/lacewinglug/host/quarantine.py
+++ b/lacewinglug/host/quarantine.py
@@ -47,7 +47,10 @@
 """Maximum number of crashes that are remembered for a part. With so many, it gets no
 more trials."""
 MAX_PARTS_PER_CRASH = 32
-"""Maximum number of parts of one request that are suspected."""
+"""Maximum number of parts of one request that are suspected because of one crash."""
+MAX_LEFT_OUT_PARTS = 8192
+"""Maximum number of further parts of such requests whose crashes a host remembers for
+itself; the headers of a request hold a fraction of it."""
 PROVEN_REPEAT_INTERVAL_S = 0.25
 """Minimum time between repeated news of answers, in seconds."""
 MAX_PROVEN_PARTS = 8192
@@ -151,6 +154,10 @@
             return True
         return now_s >= self.next_trial_at_s
 
+    def is_expired(self, *, now_s: float) -> bool:
+        """Return whether the last crash was too long ago to count."""
+        return now_s - self.crashes[-1].at_s > EVIDENCE_TTL_S
+
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it was unknown."""
         if _is_among(crash, self.crashes):
@@ -206,6 +213,7 @@
     on_suspect: Callable[[SuspectReport], None] = lambda _: None
     on_proven: Callable[[int], None] = lambda _: None
     _suspects: OrderedDict[int, _Suspect] = field(default_factory=OrderedDict)
+    _left_out: OrderedDict[int, _Suspect] = field(default_factory=OrderedDict)
     _proven_at_s: OrderedDict[int, float] = field(default_factory=OrderedDict)
     _proven_repeated_at_s: float = float("-inf")
 
@@ -280,13 +288,19 @@
         """
         quarantined = [part for part in parts if self._is_quarantined(part)]
         unproven = [part for part in parts if not self.is_proven(part)]
-        blamed = (quarantined or unproven or list(parts))[:MAX_PARTS_PER_CRASH]
-        suspects = {part: self._suspect(part) for part in blamed}
-        news = [part for part, suspect in suspects.items() if suspect.add(crash)]
+        ranked = self._rank(quarantined or unproven or parts)
+        news = {}
+        for part in ranked[:MAX_PARTS_PER_CRASH]:
+            unknown = part not in self._suspects
+            suspect = self._suspect(part)
+            if suspect.add(crash) or unknown:
+                news[part] = suspect
+        for part in ranked[MAX_PARTS_PER_CRASH:]:
+            self._leave_out(part, crash)
         if news:
             self._update(now_s=now_s)
-        for part in news:
-            self.on_suspect(_make_report(part, suspects[part], now_s=now_s))
+        for part, suspect in news.items():
+            self.on_suspect(_make_report(part, suspect, now_s=now_s))
 
     def record_answer(self, parts: Iterable[int], *, now_s: float) -> None:
         """Record that a request with the given parts was answered."""
@@ -310,8 +324,9 @@
         if not crashes:
             self._repeat_proven(report.part, now_s=now_s)
             return
+        left_out = report.part in self._left_out
         suspect = self._suspect(report.part)
-        changed = report.proven and not suspect.proven
+        changed = left_out or (report.proven and not suspect.proven)
         suspect.proven = suspect.proven or report.proven
         for crash in crashes:
             changed = suspect.add(crash) or changed
@@ -320,6 +335,8 @@
         if report.trial_count > suspect.trial_count:
             suspect.trial_count = report.trial_count
             suspect.next_trial_at_s = now_s + report.next_trial_s
+        if left_out:
+            self.on_suspect(_make_report(report.part, suspect, now_s=now_s))
 
     def reports(self, *, now_s: float) -> list[SuspectReport]:
         """Return all suspected parts, the quarantined ones first."""
@@ -337,11 +354,38 @@
         if suspect is None:
             if len(self._suspects) >= MAX_SUSPECTS:
                 self._drop_oldest_suspect()
-            suspect = _Suspect(proven=part in self._proven_at_s)
+            suspect = self._left_out.pop(part, None) or _Suspect()
+            suspect.proven = part in self._proven_at_s
             self._suspects[part] = suspect
         self._suspects.move_to_end(part)
         return suspect
 
+    def _rank(self, parts: Iterable[int]) -> list[int]:
+        """Return the parts to suspect of a crash, the likeliest first.
+
+        These are the parts of most earlier crashes, then random ones: a deadly part
+        that comes with many new parts is found wherever it stands in the prompt.
+        """
+        ranked = list(dict.fromkeys(parts))
+        if len(ranked) > MAX_PARTS_PER_CRASH:
+            ranked.sort(
+                key=lambda part: (-self._count_crashes(part), self.random_fraction())
+            )
+        return ranked
+
+    def _count_crashes(self, part: int) -> int:
+        suspect = self._suspects.get(part) or self._left_out.get(part)
+        return 0 if suspect is None else len(suspect.crashes)
+
+    def _leave_out(self, part: int, crash: Crash) -> None:
+        """Remember a crash of a part for the case that the part is suspected later."""
+        if part in self._suspects:
+            return
+        self._left_out.setdefault(part, _Suspect()).add(crash)
+        self._left_out.move_to_end(part)
+        if len(self._left_out) > MAX_LEFT_OUT_PARTS:
+            self._left_out.popitem(last=False)
+
     def _drop_oldest_suspect(self) -> None:
         """Drop the oldest suspect, one that is not quarantined if there is any."""
         for part, suspect in self._suspects.items():
@@ -365,6 +409,7 @@
         self._proven_at_s.move_to_end(part)
         if len(self._proven_at_s) > MAX_PROVEN_PARTS:
             self._proven_at_s.popitem(last=False)
+        self._left_out.pop(part, None)
         suspect = self._suspects.pop(part, None)
         if suspect is None:
             return False
@@ -375,10 +420,15 @@
 
     def _remove_expired(self, *, now_s: float) -> None:
         for part, suspect in list(self._suspects.items()):
-            if now_s - suspect.crashes[-1].at_s > EVIDENCE_TTL_S:
+            if suspect.is_expired(now_s=now_s):
                 del self._suspects[part]
                 if suspect.quarantined:
                     _log_release(part, "its last crash was long ago")
+        while self._left_out:
+            part, suspect = next(iter(self._left_out.items()))
+            if not suspect.is_expired(now_s=now_s):
+                break
+            del self._left_out[part]
 
     def _update(self, *, now_s: float) -> None:
         """Derive from all known crashes which parts are quarantined.
--- a/tests/host/test_quarantine.py
+++ b/tests/host/test_quarantine.py
@@ -13,6 +13,7 @@
     EVIDENCE_TTL_S,
     FIRST_TRIAL_S,
     MAX_CRASHES_PER_PART,
+    MAX_LEFT_OUT_PARTS,
     MAX_PARTS_PER_CRASH,
     MAX_PROVEN_PARTS,
     MAX_SUSPECTS,
@@ -61,6 +62,83 @@
     assert not is_quarantined(quarantine, SOUND)
 
 
+def crash_with_new_parts(quarantine, part_count, *, number, place="last"):
+    """Record a crash under a prompt with the deadly part and others never seen."""
+    first = 10_000 * (number + 1)
+    parts = list(range(first, first + part_count))
+    index = {"first": 0, "middle": part_count // 2, "last": part_count}[place]
+    parts.insert(index, DEADLY)
+    crash(quarantine, *parts, engine=number, at_s=3.0 * number)
+
+
+# Guards against a deadly part that is never suspected, as it has too many before it.
+@pytest.mark.parametrize("place", ["first", "middle", "last"])
+@pytest.mark.parametrize("part_count", [2, 1000])
+@pytest.mark.parametrize("seed", range(5))
+def test_deadly_part_among_many_new_ones_is_quarantined(seed, part_count, place):
+    reports = []
+    quarantine = PartQuarantine(
+        random_fraction=random.Random(seed).random, on_suspect=reports.append
+    )
+    for number in range(2):
+        reports.clear()
+        crash_with_new_parts(
+            quarantine, MAX_PARTS_PER_CRASH + part_count, number=number, place=place
+        )
+        assert len(reports) == MAX_PARTS_PER_CRASH
+    assert quarantine.quarantined_parts() == [DEADLY]
+
+
+# Guards against the same where each host sees only one of the crashes.
+@pytest.mark.parametrize("seed", range(20))
+def test_deadly_part_that_a_host_left_out_is_found_with_the_others(seed):
+    rng = random.Random(seed)
+    hosts = [PartQuarantine(random_fraction=rng.random) for _ in range(5)]
+    queue = []
+    for host in hosts:
+        host.on_suspect = queue.append
+    for number, host in enumerate(hosts):
+        crash_with_new_parts(host, MAX_PARTS_PER_CRASH + 2, number=number)
+        while queue:
+            report = queue.pop()
+            for other in hosts:
+                other.apply_report(report, now_s=3.0 * number)
+    for host in hosts:
+        assert host.quarantined_parts() == [DEADLY]
+
+
+# Guards against crashes that count although an answer came after them.
+def test_answer_clears_a_part_that_was_left_out():
+    quarantine = PartQuarantine(random_fraction=random.Random(1).random)
+    parts = range(100, 100 + 10 * MAX_PARTS_PER_CRASH)
+    crash(quarantine, *parts, engine=10, at_s=1.0)
+    quarantine.record_answer(parts, now_s=2.0)
+    for engine in range(11, 10 + CRASHES_TO_QUARANTINE_PROVEN):
+        crash(quarantine, *parts, engine=engine, at_s=3.0 * engine)
+    assert quarantine.quarantined_parts() == []
+
+
+# Guards against memory and evidence that stay for good with the parts left out.
+@pytest.mark.parametrize(
+    ("other_parts", "later_s", "remembered"),
+    [
+        (0, 5.0, True),
+        (MAX_LEFT_OUT_PARTS + MAX_PARTS_PER_CRASH, 5.0, False),
+        (0, EVIDENCE_TTL_S + 5.0, False),
+    ],
+)
+def test_parts_that_are_left_out_are_forgotten(
+    quarantine, other_parts, later_s, remembered
+):
+    parts = range(100, 100 + 2 * MAX_PARTS_PER_CRASH)
+    crash(quarantine, *parts, engine=10, at_s=1.0)
+    others = range(10**6, 10**6 + other_parts)
+    crash(quarantine, *others, engine=11, at_s=3.0)
+    quarantine.admit([SOUND], now_s=later_s)
+    crash(quarantine, parts[-1], engine=12, at_s=later_s)
+    assert is_quarantined(quarantine, parts[-1]) == remembered
+
+
 def test_one_crash_that_several_requests_report_counts_once(quarantine):
     crash(quarantine, DEADLY, engine=10, at_s=1.0)
     crash(quarantine, DEADLY, engine=10, at_s=1.9)
