Let many runners fall silent together in the play of changes

The plays that lost no request had runners that are silent one by one; what the users' fleet may see is a silence of many. The option is off in the tests, since such chains reach the timeout of a route, which is allowed.

--- a/tests/host/change_play.py
+++ b/tests/host/change_play.py
@@ -6,6 +6,10 @@
 tests do, by hand:
 
     python -m tests.host.change_play --first 1 --seeds 50
+
+With ``--silences`` about half of the runners also fall silent together now and then.
+Several silences in a row then use up the timeout of some routes, which the platform's
+rules excuse and the play counts as lost.
 """
 
 import argparse
@@ -37,6 +41,8 @@
 """Shortest and longest time between two versions of the configuration."""
 SILENCE_S = (0.7, 1.3)
 """Shortest and longest time for which a sound runner is silent."""
+SILENCE_INTERVAL_S = (1.5, 3.0)
+"""Shortest and longest time between two silences of many runners at once."""
 REUSE_FRACTION = 0.8
 """Fraction of the idle limit in force for which clients reuse a connection."""
 EVENTS = 5
@@ -60,14 +66,24 @@
 
     :param rng: source of randomness.
     :param broken: ids of the requests that a runner broke off.
+    :param silent_until_s: time of the event loop until which it is silent as a whole.
     """
 
+    silent_until_s = 0.0
+
     def __init__(self, *args, rng, broken, **fields):
         super().__init__(*args, event_count=EVENTS, **fields)
         self.rng = rng
         self.broken = broken
 
+    async def wait_for_silence(self):
+        """Wait until the end of a silence of the whole runner."""
+        loop = asyncio.get_running_loop()
+        while (left_s := self.silent_until_s - loop.time()) > 0:
+            await asyncio.sleep(left_s)
+
     async def serve(self, request, exchange):
+        await self.wait_for_silence()
         way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
         silence_s = self.rng.uniform(*SILENCE_S)
         if way == "reject_late":
@@ -92,6 +108,7 @@
         for number, piece in enumerate(pieces):
             if number == 1 and way in ("silent_later", "unframed_silent"):
                 await asyncio.sleep(silence_s)
+            await self.wait_for_silence()
             if number == 1 and way == "break":
                 exchange.abort()
                 return
@@ -106,6 +123,7 @@
             await exchange.finish()
 
     async def prefill(self, request, exchange):
+        await self.wait_for_silence()
         way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
         if way == "reject_late":
             await asyncio.sleep(self.rng.uniform(*SILENCE_S))
@@ -131,6 +149,7 @@
     """One play.
 
     :param seed: seed of all random choices; the order of events still varies.
+    :param silences: whether many runners fall silent together.
     :param responses: number of complete responses by path and status.
     :param lost: requests without a complete response, as text.
     :param unread: requests on connections that the host closed before it read them.
@@ -139,6 +158,7 @@
     """
 
     seed: int
+    silences: bool = False
     responses: Counter = field(default_factory=Counter)
     lost: list[str] = field(default_factory=list)
     unread: int = 0
@@ -177,11 +197,23 @@
 
     async def _play(self, scene):
         end_s = asyncio.get_running_loop().time() + PLAY_S
-        changes = asyncio.create_task(self._change(scene))
+        troubles = [asyncio.create_task(self._change(scene))]
+        if self.silences:
+            troubles.append(asyncio.create_task(self._silence(scene)))
         await asyncio.gather(*(self._send(scene, end_s) for _ in range(CLIENTS)))
-        changes.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await changes
+        for trouble in troubles:
+            trouble.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await trouble
+
+    async def _silence(self, scene):
+        """Let about half of the runners fall silent together, and go on."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._rng.uniform(*SILENCE_INTERVAL_S))
+            for runner in scene.runners:
+                if self._rng.random() < 0.5:
+                    runner.silent_until_s = loop.time() + self._rng.uniform(*SILENCE_S)
 
     async def _change(self, scene):
         """Publish versions of the configuration, and let a runner leave with each."""
@@ -313,9 +345,10 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--silences", action="store_true")
     given = parser.parse_args()
     for seed in range(given.first, given.first + given.seeds):
-        play = ChangePlay(seed=seed)
+        play = ChangePlay(seed=seed, silences=given.silences)
         asyncio.run(play.run())
         print(
             f"seed {seed}: {play.versions} versions, "
