Test that upstreams are kept through a second of silence, two cases red

While a response is awaited, one unanswered keep-alive probe ends the connection 2 s after the request, since with a user timeout the kernel does not count the two probes that are configured. A request to a machine that gets no packets for 1 s is given up after 1.4 s, when its third retransmission is due.

--- a/tests/wire/test_delivery.py
+++ b/tests/wire/test_delivery.py
@@ -10,7 +10,12 @@
 from lacewinglug.wire.client import UpstreamError
 from lacewinglug.wire.delivery import LONG_REQUEST_BYTES
 from lacewinglug.wire.sockets import MS_PER_S, UPSTREAM_TCP_TIMEOUTS
-from tests.wire.upstream import PausingUpstream, connect, send_request
+from tests.wire.upstream import (
+    PausingUpstream,
+    SilentUpstream,
+    connect,
+    send_request,
+)
 
 LONG_BODY = b"x" * 1_000_000
 """Body that exceeds the receive window of an upstream that does not read."""
@@ -115,3 +120,19 @@
             ):
                 await asyncio.sleep(0.01)
         connection.abort()
+
+
+# Guards against dropping a sound upstream while its response is awaited: with a user
+# timeout the kernel closes a connection after one unanswered keep-alive probe.
+async def test_an_upstream_that_is_silent_for_a_second_before_it_responds_is_kept():
+    async with SilentUpstream(from_s=0.5, to_s=1.5, respond_s=3.0) as upstream:
+        response = await exchange(upstream, b"hi")
+    assert (response.status, response.body) == (200, b"ok")
+
+
+# Guards against dropping a sound upstream before the third retransmission of a request
+# reaches it, 1.4 s after the first.
+async def test_an_upstream_that_is_silent_for_a_second_gets_the_request():
+    async with SilentUpstream(from_s=0.0, to_s=1.0, respond_s=1.0) as upstream:
+        response = await exchange(upstream, b"hi")
+    assert (response.status, response.body) == (200, b"ok")
--- a/tests/wire/upstream.py
+++ b/tests/wire/upstream.py
@@ -12,6 +12,7 @@
 DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
 """The socket filter ``BPF_RET | BPF_K`` of 0, which drops each packet."""
 SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -106,13 +107,60 @@
 
     def _die(self, writer):
         """Let the kernel drop all packets to the socket, as if its machine was dead."""
-        code = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
-        program = struct.pack("HL", 1, ctypes.addressof(code))
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        drop_packets(writer)
         self.died_s = asyncio.get_running_loop().time()
 
 
+class SilentUpstream:
+    """Upstream whose machine gets no packets for a while, and which then responds.
+
+    :param from_s: when that begins, in s after the connection was accepted.
+    :param to_s: when it ends.
+    :param respond_s: when the upstream responds.
+    """
+
+    def __init__(self, *, from_s, to_s, respond_s):
+        self._from_s = from_s
+        self._to_s = to_s
+        self._respond_s = respond_s
+        self._writers = []
+        self.accepted = asyncio.Event()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        if self._from_s == 0.0:
+            drop_packets(writer)
+        self.accepted.set()
+        if self._from_s > 0.0:
+            await asyncio.sleep(self._from_s)
+            drop_packets(writer)
+        await asyncio.sleep(self._to_s - self._from_s)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        await asyncio.sleep(self._respond_s - self._to_s)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+
+
+def drop_packets(writer):
+    """Let the kernel drop all packets to the socket of a writer."""
+    code = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
+    program = struct.pack("HL", 1, ctypes.addressof(code))
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 async def connect(upstream):
     """Open a client connection to the upstream."""
     return await open_connection(upstream.address, timeout_s=5.0)
