Measure what hosts would gain if they told each other of notices

Hosts keep to what they hear themselves. Not played: a runner that pushes back only one of the hosts, which telling would harm.

--- a/bench/policy/notices.py
+++ b/bench/policy/notices.py
@@ -67,6 +67,7 @@
 
     def __init__(self) -> None:
         self.sent_to_leaving = 0
+        self.turned_away = 0
         self._leaving_s: dict[tuple[int, str], float] = {}
         self._pauses: dict[tuple[int, str], dict[float, float]] = {}
         self._in_pause: Counter[tuple[int, str, float]] = Counter()
@@ -75,6 +76,7 @@
         """Record that an entry got a notice."""
         key = (entry, engine)
         if pause_s > 0:
+            self.turned_away += 1
             pauses = self._pauses.setdefault(key, {})
             pauses[now_s + PAUSE_SETTLE_S] = now_s + pause_s
         else:
@@ -92,6 +94,14 @@
         for start_s, end_s in self._pauses.get(key, {}).items():
             self._in_pause[*key, start_s] += start_s <= now_s < end_s
 
+    @property
+    def spread_s(self) -> float:
+        """Longest time from the first to the last entry told by a leaving engine."""
+        told_s: dict[str, list[float]] = defaultdict(list)
+        for (_, engine), at_s in self._leaving_s.items():
+            told_s[engine].append(at_s)
+        return max((max(item) - min(item) for item in told_s.values()), default=0.0)
+
     @property
     def pauses_broken(self) -> int:
         """Number of pauses in which more requests than allowed reached the engine."""
--- a/bench/policy/runs.py
+++ b/bench/policy/runs.py
@@ -17,12 +17,17 @@
 
 
 def run_case(
-    case: Case, policy: str, settings: PolicySettings | None = None
+    case: Case,
+    policy: str,
+    settings: PolicySettings | None = None,
+    *,
+    telling_delay_s: float | None = None,
 ) -> Simulation:
     """Run one case under one policy.
 
     :param policy: one of ``POLICIES``.
     :param settings: rules in force for lacewinglug.
+    :param telling_delay_s: as in :class:`Simulation`.
     """
     roles = case.roles
     if policy in _MIXED_ROLES:
@@ -37,6 +42,7 @@
         disturbances=case.disturbances,
         seed=case.seed,
         tail_s=case.tail_s,
+        telling_delay_s=telling_delay_s,
     )
     rules = settings or PolicySettings()
     for index in range(len(case.site.entries)):
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -156,6 +156,8 @@
     :param roles: role of each engine at the start.
     :param disturbances: what happens to the fleet.
     :param seed: seed of the reports' lag.
+    :param telling_delay_s: time after which the other entries learn of a notice from
+        the entry that got it, in seconds; None if they do not.
     """
 
     site: Site
@@ -164,6 +166,7 @@
     roles: tuple[str, ...]
     disturbances: tuple[Disturbance, ...] = ()
     seed: int = 0
+    telling_delay_s: float | None = None
     tail_s: float = 60.0
     loop: EventLoop = field(default_factory=EventLoop)
     entries: list[Entry] = field(default_factory=list)
@@ -285,6 +288,13 @@
     def _tell(self, entry: int, engine: Engine, pause_s: float = 0.0) -> None:
         self.notice_counts.record(entry, engine.name, pause_s, now_s=self.loop.now_s)
         self.entries[entry].note_notice(engine, pause_s)
+        if self.telling_delay_s is None:
+            return
+        for other in self.entries:
+            if other is not self.entries[entry]:
+                self.loop.after(
+                    self.telling_delay_s, other.note_notice, engine, pause_s
+                )
 
     def _begin_answer(self, job: Job) -> None:
         engine = job.engine
