--- a/tests/wire/upstream.py
+++ b/tests/wire/upstream.py
@@ -141,6 +141,48 @@
         writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
 
 
+class SilentUpstream:
+    """Upstream whose machine gets no packets for a while, and which then responds.
+
+    :param from_s: when that begins, in s after the connection was accepted.
+    :param to_s: when it ends.
+    :param respond_s: when the upstream responds.
+    """
+
+    def __init__(self, *, from_s, to_s, respond_s):
+        self._from_s = from_s
+        self._to_s = to_s
+        self._respond_s = respond_s
+        self._writers = []
+        self.accepted = asyncio.Event()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        sock = writer.get_extra_info("socket")
+        if self._from_s == 0.0:
+            drop_packets(sock)
+        self.accepted.set()
+        if self._from_s > 0.0:
+            await asyncio.sleep(self._from_s)
+            drop_packets(sock)
+        await asyncio.sleep(self._to_s - self._from_s)
+        keep_packets(sock)
+        await asyncio.sleep(self._respond_s - self._to_s)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+
+
 def drop_packets(sock):
     """Let the kernel drop all packets to a socket, as if its machine was dead."""
     code = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
