Count a request as load of its runner while its connection is opened

Callers saw refusals, and latency at one runner, when many calls came at once to a host with no open connections: the load of a runner counted only after ConnectionPool.acquire had returned, so all calls that were placed in the meantime chose the same runner. Of 18 at once the runner with 6 slots got all and the two others none.

Cause: Attempt.connect recorded the request after waiting for the connection. It is recorded before the wait now, and once per attempt, whether the connection is opened, released or fails.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -295,6 +295,7 @@
         self.started_s = state.now_s()
         self._pool: ConnectionPool = state.upstreams.pool(entry, context.service)
         self._connection: ClientConnection | None = None
+        self._is_outstanding = False
         self._stale_responses = 0
         self._head: ResponseHead | None = None
         self._body = bytearray()
@@ -304,6 +305,9 @@
     async def connect(self) -> None:
         """Acquire a connection to the runner.
 
+        The request counts as load of the runner from here on, so that others that are
+        placed while the connection is being opened can choose another runner.
+
         :raises UpstreamError: no connection is available, or the runner may not get
             the request; nothing was sent.
         """
@@ -311,12 +315,12 @@
         timeout_s = min(
             CONNECT_TIMEOUT_S, max(0.05, self._context.remaining_s(self._state.now_s()))
         )
+        self._set_outstanding(True)
         try:
             self._connection = await self._pool.acquire(timeout_s=timeout_s)
         except UpstreamError:
             self.health.record_unreachable(now_s=self._state.now_s())
             raise
-        self.health.outstanding += 1
 
     def send(self, fields: ForwardingFields) -> None:
         """Send the request.
@@ -435,14 +439,19 @@
         if self._connection is not None:
             self._pool.release(self._connection, head.headers)
             self._connection = None
-            self.health.outstanding -= 1
+        self._set_outstanding(False)
 
     def close(self) -> None:
         """Close the connection unless it was released already."""
         if self._connection is not None:
             self._pool.abort(self._connection)
             self._connection = None
-            self.health.outstanding -= 1
+        self._set_outstanding(False)
+
+    def _set_outstanding(self, outstanding: bool) -> None:
+        """Count the request as load of the runner, or no longer; each at most once."""
+        self.health.outstanding += int(outstanding) - int(self._is_outstanding)
+        self._is_outstanding = outstanding
 
     async def _discard_stale_response(self) -> None:
         """Discard the response to an earlier request on this connection.
