Add a failing test for a stream whose engines have both left

Callers of a resumable stream see it break off with time left and another engine ready. An engine is given up since it is silent for two seconds, or half of the time left; the next one rejects the stream later than the 0.3 s in which both are open; both drain, or are no longer registered, by then.

StreamRelay._return_to_engines sends such a stream only to engines that had it before. With none of them ready it returns at once, and the response is cut. Nothing is wrong with the ready engines, and at most one engine has run the request, so the limit on attempts would allow another run.

--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -785,6 +785,28 @@
         assert loop.time() - started_s < late.late_s + MAX_OVERLAP_S + 1.0
 
 
+# Guards against a stream that is cut with an engine ready and time left, since the
+# engine that was silent and the one that rejected it have left.
+@pytest.mark.parametrize("listed", [True, False])
+async def test_a_stream_goes_on_elsewhere_if_all_engines_that_had_it_have_left(listed):
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        ready = FakeRunner("runner-3", "llm", stage="decode", zone="qc-a")
+        scene.runners.append(await ready.open())
+        await scene.store.put("keyed.servers", ready.instance, ready.entry())
+        for runner in (silent, late):
+            if listed:
+                entry = runner.entry("draining")
+                await scene.store.put("keyed.servers", runner.instance, entry)
+            else:
+                await scene.store.drop("keyed.servers", runner.instance)
+        answer = await request
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
 # Guards against a stream that is resumed again and again without a pause.
 async def test_a_stream_is_resumed_within_the_retry_budget():
     silent, late = make_late_engines(late_count=100, silent_count=100)
