Let another engine take a stream whose engines have all left

Callers saw a resumable stream break off with time left and other engines ready: its engine had been given up after a silence, the next one rejected it later than the 0.3 s in which both are open, and both were draining, or no longer registered, by then. That is planned work alone, beside runners that are sound. Probes cut streams after 1.84 s of 3 s, 2.51 s of 5 s and 2.51 s of 6 s, before seven tenths of their time.

Cause: StreamRelay._return_to_engines sends a stream only to engines that had it, since the limit on attempts is one of engines. With none of these ready nothing was left to do. A rejection is no run, so the limit was not reached: it counts the engines that may have run the stream now. One that has not had the stream is asked only if none of the earlier ones is ready, and never beyond the limit.

The new test of the limit and the tests of streams in tests/host/test_relay.py pass.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -85,6 +85,7 @@
     :param gave_up_engine: whether an engine was given up only since it was silent.
     :param earlier_engines: instances of the engines that were given up so, or that
         rejected the stream; the last one comes last.
+    :param engines_run: instances of the engines that may have run the stream.
     :param silent: attempts whose engines fell silent, until another one goes on.
     """
 
@@ -99,6 +100,7 @@
     may_fail_over: bool = True
     gave_up_engine: bool = False
     earlier_engines: list[str] = field(default_factory=list)
+    engines_run: set[str] = field(default_factory=set)
     silent: list["_SilentAttempt"] = field(default_factory=list)
     _overlap_timer: asyncio.TimerHandle | None = None
 
@@ -174,10 +176,12 @@
 
     :param reason: cause, for the log line of the request.
     :param silent: whether the engine fell silent and may still go on.
+    :param rejected: whether the engine did not run the request.
     """
 
     reason: str
     silent: bool = False
+    rejected: bool = False
 
 
 @dataclass(kw_only=True)
@@ -296,12 +300,14 @@
         """Resume a stream that has begun at engines to which it was sent before.
 
         The limit on attempts is a limit on engines. An engine that was given up since
-        it was silent may be sound, and one that rejected the stream may accept it.
+        it was silent may be sound, and one that rejected the stream may accept it. If
+        none of them takes requests any more, another one takes their place, unless
+        the stream has run on as many engines as the limit allows.
 
         :returns: whether the stream was relayed to its end.
         """
         pause_s = 0.0
-        while engines := self._engines_to_return_to(context, progress):
+        while choices := self._engines_to_return_to(context, progress):
             await asyncio.sleep(pause_s)
             pause_s = min(
                 max(MIN_RETURN_INTERVAL_S, 2 * pause_s), MAX_RETURN_INTERVAL_S
@@ -310,8 +316,8 @@
                 context.trace.add_step("retry denied", now_s=self.state.now_s())
                 continue
             placements = (
-                self.placer.place(context, allow_disaggregated=False, among={engine})
-                for engine in engines
+                self.placer.place(context, allow_disaggregated=False, among=engines)
+                for engines in choices
             )
             placement = next((item for item in placements if item is not None), None)
             if placement is None:
@@ -328,8 +334,8 @@
 
     def _engines_to_return_to(
         self, context: RequestContext, progress: _StreamProgress
-    ) -> list[str]:
-        """Return the engines that a stream may be sent to again, empty for none."""
+    ) -> list[set[str]]:
+        """Return sets of engines to choose from, in order of preference."""
         if (
             not (progress.head_sent and progress.may_resume)
             or not progress.gave_up_engine
@@ -344,7 +350,11 @@
             for entry in self.state.fleet.ready(context.service.name)
             if entry.stage is not Stage.PREFILL
         }
-        return [item for item in progress.earlier_engines if item in ready]
+        earlier = [{item} for item in progress.earlier_engines if item in ready]
+        if earlier or len(progress.engines_run) >= context.route.max_attempts:
+            return earlier
+        others = ready - progress.engines_run
+        return [others] if others else []
 
     def _trace_result(
         self,
@@ -490,7 +500,10 @@
         context.attempt_count += 1
         context.lifecycle.apply("send")
         progress.limit_overlap()
-        return await self._relay_attempt(context, progress, plan, exchange, attempt)
+        result = await self._relay_attempt(context, progress, plan, exchange, attempt)
+        if not (isinstance(result, _AttemptFailed) and result.rejected):
+            progress.engines_run.add(engine.entry.instance)
+        return result
 
     async def _relay_attempt(
         self,
@@ -659,7 +672,9 @@
             context.lifecycle.apply("reject")
             attempt.health.record_result(failed=True, now_s=now_s)
             progress.add_earlier_engine(attempt.entry.instance)
-            return _AttemptFailed(reason=f"not executed {response.status}")
+            return _AttemptFailed(
+                reason=f"not executed {response.status}", rejected=True
+            )
         failed = verdict is Verdict.SERVER_ERROR
         attempt.health.record_result(failed=failed, now_s=now_s)
         answer = Response(
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -807,6 +807,29 @@
         assert (answer.body, answer.complete) == (STREAM, True)
 
 
+# Guards against a stream that runs on more engines than its route has attempts, once
+# those that had it have left.
+async def test_a_stream_runs_on_no_more_engines_than_its_route_has_attempts():
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        others = [
+            FakeRunner(f"runner-{number}", "llm", stage="decode", zone="qc-a")
+            for number in (3, 4)
+        ]
+        for other in others:
+            other.mode = "cut"
+            scene.runners.append(await other.open())
+            await scene.store.put("keyed.servers", other.instance, other.entry())
+        for runner in (silent, late):
+            await scene.store.drop("keyed.servers", runner.instance)
+        answer = await request
+        assert not answer.complete
+        assert [len(other.received) for other in others].count(0) == 1
+
+
 # Guards against a stream that is resumed again and again without a pause.
 async def test_a_stream_is_resumed_within_the_retry_budget():
     silent, late = make_late_engines(late_count=100, silent_count=100)
