Suspect answered prompt parts beside new ones of crashes

Callers of sound prompts lost their answers, as engines crashed one after the other: a part that had been answered and turned deadly later was never quarantined if each prompt with it also had a new part, such as the last turn of a chat. A crash counted against the parts without an answer only, if the prompt had any.

A crash now counts against all shared parts. Answered ones still need four crashes, and an answer in between clears them.

--- a/lacewinglug/host/quarantine.py
+++ b/lacewinglug/host/quarantine.py
@@ -283,12 +283,10 @@
     def record_crash(self, parts: Sequence[int], crash: Crash, *, now_s: float) -> None:
         """Record that an engine crashed while it began to answer a request.
 
-        If the request has parts that are quarantined, or else parts with which no
-        request was answered, only these are suspected.
+        If the request has parts that are quarantined, only these are suspected.
         """
         quarantined = [part for part in parts if self._is_quarantined(part)]
-        unproven = [part for part in parts if not self.is_proven(part)]
-        ranked = self._rank(quarantined or unproven or parts)
+        ranked = self._rank(quarantined or parts)
         news = {}
         for part in ranked[:MAX_PARTS_PER_CRASH]:
             unknown = part not in self._suspects
@@ -363,13 +361,18 @@
     def _rank(self, parts: Iterable[int]) -> list[int]:
         """Return the parts to suspect of a crash, the likeliest first.
 
-        These are the parts of most earlier crashes, then random ones: a deadly part
-        that comes with many new parts is found wherever it stands in the prompt.
+        These are the parts of most earlier crashes, then those with which no request
+        was answered, then random ones: a deadly part that comes with many new parts is
+        found wherever it stands in the prompt.
         """
         ranked = list(dict.fromkeys(parts))
         if len(ranked) > MAX_PARTS_PER_CRASH:
             ranked.sort(
-                key=lambda part: (-self._count_crashes(part), self.random_fraction())
+                key=lambda part: (
+                    -self._count_crashes(part),
+                    self.is_proven(part),
+                    self.random_fraction(),
+                )
             )
         return ranked
 
--- a/tests/host/test_crashing_prompts.py
+++ b/tests/host/test_crashing_prompts.py
@@ -305,6 +305,27 @@
     run_episode(monkeypatch, seed=2, prefix=(FIRST_PARTS[0], SECOND_PARTS[0]))
 
 
+# Guards against a part that was answered before, turns deadly and is never suspected,
+# since each prompt with it has a new part as well.
+@pytest.mark.parametrize("seed", [20, 21, 22])
+def test_answered_part_that_turns_deadly_beside_new_ones_stops(monkeypatch, seed):
+    async def play():
+        async with running_fleet(monkeypatch, seed=seed) as fleet:
+
+            def draw():
+                prompt = fleet.load.deadly("bad-1")
+                first, *others = prompt.parts
+                new_part = f"chat-{fleet.load.random.random()}"
+                return replace(prompt, parts=(first, new_part, *others))
+
+            draws = [(host, draw) for host in fleet.hosts]
+            await assert_served_soon(fleet, draws)
+            fleet.deadly_parts.add("bad-1")
+            await judge(Episode(fleet=fleet, draw_deadly=draw))
+
+    run_virtual(play(), io_wait_s=IO_WAIT_S)
+
+
 def test_prompts_that_crash_engines_after_a_separate_prefill_stop(monkeypatch):
     """Pattern: the engine that prefills survives, the one that decodes crashes."""
     fleet = run_episode(monkeypatch, seed=19, prefill_engines=2).fleet
--- a/tests/host/test_quarantine.py
+++ b/tests/host/test_quarantine.py
@@ -155,6 +155,35 @@
     assert is_quarantined(quarantine, SOUND)
 
 
+# Guards against a part that was answered before, turns deadly and is never suspected,
+# since each prompt with it has a new part as well.
+@pytest.mark.parametrize("host_count", [1, 5])
+@pytest.mark.parametrize("answers_between", [1, 4])
+def test_answered_part_that_turns_deadly_beside_new_ones_is_quarantined(
+    host_count, answers_between
+):
+    rng, now_s, new_parts = random.Random(1), 0.0, itertools.count(100)
+    hosts = [PartQuarantine(random_fraction=rng.random) for _ in range(host_count)]
+    for host in hosts:
+        host.on_suspect = lambda report: [
+            other.apply_report(report, now_s=now_s) for other in hosts
+        ]
+        host.on_proven = lambda part: [
+            other.apply_proven(part, now_s=now_s) for other in hosts
+        ]
+        host.record_answer([SOUND, DEADLY], now_s=now_s)
+    for number in range(CRASHES_TO_QUARANTINE_PROVEN):
+        now_s += 2.0
+        parts = [SOUND, next(new_parts), DEADLY]
+        assert rng.choice(hosts).admit(parts, now_s=now_s) == Admitted()
+        crash(rng.choice(hosts), *parts, engine=number, at_s=now_s)
+        for _ in range(answers_between):
+            now_s += 0.1
+            rng.choice(hosts).record_answer([SOUND, next(new_parts)], now_s=now_s)
+    for host in hosts:
+        assert host.quarantined_parts() == [DEADLY]
+
+
 def test_answer_clears_all_evidence(quarantine):
     crash(quarantine, SOUND, engine=10, at_s=1.0)
     quarantine.record_answer([SOUND], now_s=2.0)
