Count each stream as an answer once

A quarantined part was released when a stream with it ended that had begun before the crashes, and engines crashed again. The relay recorded an answer 0.25 s after the first event and again at the end of the stream; the latter says nothing about engines that begin one now. It is recorded once.

The test failed before: the part of four crashes was released by the end of an older stream.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -611,7 +611,8 @@
             raise UpstreamError("stream ended before its first event", sent=True)
         attempt.release(head)
         attempt.health.record_result(failed=False, now_s=self.state.now_s())
-        if not (head.ends_with_connection and self._is_beginning(attempt)):
+        ended_early = head.ends_with_connection and self._is_beginning(attempt)
+        if not (answer_recorded or ended_early):
             self._record_answer(context)
         if not progress.head_sent:
             await self._send_events(context, progress, exchange, head.headers, [])
--- a/tests/host/test_crashes.py
+++ b/tests/host/test_crashes.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from lacewinglug.host.crashes import ANSWER_START_S
 from lacewinglug.host.model import PromptPart
-from lacewinglug.host.quarantine import Crash
+from lacewinglug.host.quarantine import CRASHES_TO_QUARANTINE_PROVEN, Crash
 from lacewinglug.host.residency import hash_part
 from tests.host.hosting import running_host
 from tests.platform.scene import HostTestbed, make_configuration
@@ -131,3 +132,38 @@
         assert (await testbed.send_request("/ask/x")).status == 500
         key = hash_part("m", PromptPart(part_id="a1", tokens=13_000)).key
         assert not process.state.quarantine.is_proven(key)
+
+
+class LongStream(FakeRunner):
+    """Sends two events apart, and the last one when it is told to."""
+
+    async def stream(self, request, exchange):
+        self.last_allowed = asyncio.Event()
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"id: 1\ndata: w1\n\n")
+        await asyncio.sleep(2 * ANSWER_START_S)
+        await exchange.write(b"id: 2\ndata: w2\n\n")
+        await self.last_allowed.wait()
+        await exchange.write(b"id: 3\ndata: w3\n\n")
+        await exchange.finish()
+
+
+# Guards against a deadly part that is released by the end of an answer that began
+# before the crashes.
+async def test_end_of_an_answer_that_began_before_the_crashes_releases_no_part():
+    runner = LongStream("i-1", "llm", stage="decode")
+    testbed = await HostTestbed().open(runner)
+    key = hash_part("m", PromptPart(part_id="a1", tokens=13_000)).key
+    async with running_host(testbed.settings) as process:
+        await testbed.wait_until_ready()
+        quarantine, now_s = process.state.quarantine, process.state.now_s()
+        request = asyncio.create_task(testbed.send_request("/ask/x"))
+        await wait_until(lambda: quarantine.is_proven(key))
+        for engine in range(CRASHES_TO_QUARANTINE_PROVEN):
+            crash = Crash(engine=engine, at_s=now_s + engine)
+            quarantine.record_crash([key], crash, now_s=now_s + engine)
+        assert quarantine.quarantined_parts() == [key]
+        runner.last_allowed.set()
+        assert (await request).complete
+        assert quarantine.quarantined_parts() == [key]
+    testbed.close()
