Listen to a silent engine while the next one has its stream

Callers with a short timeout could see a stream end there, or get `no answer in time`, although its first engine had gone on: an engine falls silent, the request is sent to a second one, and for 0.3 s both have it. What the first one sent in that time was not read. The stream then depended on the second one, which may be silent itself, slow, or reject it.

Both are read now. The one that first sends a new event gets the stream, before the first event of a stream too, and the other attempt is closed at once. Events stay at the attempt until they are relayed, so that none is lost if a timeout ends the wait in the turn in which they were read. Comments, errors and rejections of the silent engine take nothing over, and the overlap is as long as before. The log line of the request has a step `went on`.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -8,7 +8,7 @@
 from lacewinglug.host.budget import RetryBudget
 from lacewinglug.host.distance import Geography
 from lacewinglug.host.engines import EngineTracker, EngineWork
-from lacewinglug.host.events import EventSplitter
+from lacewinglug.host.events import Event, EventSplitter
 from lacewinglug.host.fleet import FleetView
 from lacewinglug.host.life import RequestLifecycle
 from lacewinglug.host.model import (
@@ -52,6 +52,8 @@
 MAX_ENGINE_RESPONSE_BYTES = 1_048_576
 """Size limit of the response to such a call; lists of cached prompt parts are the
 largest."""
+MAX_AHEAD_BYTES = 65_536
+"""Size of events read ahead, in bytes, above which no more are read."""
 MAX_STALE_RESPONSE_BYTES = 1_048_576
 """Size limit of such a response; one that is larger may have no end."""
 MAX_STALE_RESPONSES = 2
@@ -283,6 +285,7 @@
     :param context: the request.
     :param entry: the runner.
     :param first_event_s: monotonic time of the first event of a stream, None before it.
+    :param events: events that were read and not taken yet.
     """
 
     def __init__(
@@ -300,6 +303,8 @@
         self._body = bytearray()
         self.splitter = EventSplitter()
         self.first_event_s: float | None = None
+        self.events: list[Event] = []
+        self._has_ended = False
 
     async def connect(self) -> None:
         """Acquire a connection to the runner.
@@ -391,6 +396,39 @@
         self._record_response()
         return chunk
 
+    async def read_events(self) -> bool:
+        """Wait for events to take; return whether the body has not ended regularly.
+
+        :raises UpstreamError: the body is truncated.
+        :raises EventTooLongError: an event exceeds the size limit.
+        """
+        return bool(self.events) or await self.read_events_ahead() is not None
+
+    async def read_events_ahead(self) -> list[Event] | None:
+        """Return further events, None at the regular end of the body.
+
+        They are kept until they are taken, even if the caller is cancelled.
+
+        :raises UpstreamError: the body is truncated, or too much was read ahead.
+        :raises EventTooLongError: an event exceeds the size limit.
+        """
+        if self._has_ended:
+            return None
+        if sum(len(event.data) for event in self.events) > MAX_AHEAD_BYTES:
+            raise UpstreamError("too much to read ahead", sent=True)
+        chunk = await self.read_chunk()
+        if chunk is None:
+            self._has_ended = True
+            return None
+        events = self.splitter.feed(chunk)
+        self.events += events
+        return events
+
+    def take_events(self) -> list[Event]:
+        """Return the events that were read and not taken yet."""
+        events, self.events = self.events, []
+        return events
+
     def _check_notices(self) -> None:
         """Check that the runner may get a request now.
 
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any, TypeVar
 
 from lacewinglug.host.answers import Refusal, RefusalReason, refuse_as_not_run
 from lacewinglug.host.calls import (
@@ -39,7 +40,7 @@
     encode_response_headers,
 )
 from lacewinglug.wire.client import UpstreamError
-from lacewinglug.wire.messages import Response
+from lacewinglug.wire.messages import Response, ResponseHead
 from lacewinglug.wire.server import Exchange
 
 GAP_TIMEOUT_FACTOR = 2.0
@@ -63,6 +64,7 @@
 """Maximum value of Retry-After for a refused request, in s."""
 _OK = 200
 _DEFAULT_TARGET_GAP_S = 0.5
+_T = TypeVar("_T")
 _DATA_LINE = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
 
 
@@ -174,10 +176,24 @@
 
     :param reason: cause, for the log line of the request.
     :param silent: whether the engine fell silent and may still go on.
+    :param overtaken_by: the attempt whose engine was silent and went on first, None
+        if there is none.
     """
 
     reason: str
     silent: bool = False
+    overtaken_by: _SilentAttempt | None = None
+
+
+class _OvertakenError(Exception):
+    """An engine that was silent goes on before the one that the request was sent to.
+
+    :param silent: the attempt at that engine.
+    """
+
+    def __init__(self, silent: _SilentAttempt) -> None:
+        super().__init__("overtaken by a silent engine")
+        self.silent = silent
 
 
 @dataclass(kw_only=True)
@@ -232,6 +248,10 @@
                 )
             result = await self._attempt_plan(context, progress, plan, exchange)
             self._trace_result(context, progress, result)
+            if isinstance(result, _AttemptFailed) and result.overtaken_by is not None:
+                result = await self._relay_silent(
+                    context, progress, exchange, result.overtaken_by, step="went on"
+                )
             match result:
                 case _Completed():
                     return None
@@ -266,21 +286,9 @@
             except TimeoutError:
                 break
             silent = next(item for item in progress.silent if item.attempt is attempt)
-            progress.silent.remove(silent)
-            progress.backlog_number = silent.backlog_number
-            context.lifecycle.apply("wait")
-            context.trace.add_step(
-                "waited",
-                now_s=self.state.now_s(),
-                runner=silent.attempt.entry.instance,
+            result = await self._relay_silent(
+                context, progress, exchange, silent, step="waited"
             )
-            try:
-                result = await self._relay_attempt(
-                    context, progress, silent.plan, exchange, silent.attempt
-                )
-            finally:
-                silent.give_up()
-            self._trace_result(context, progress, result)
             match result:
                 case _Completed():
                     return None
@@ -290,6 +298,38 @@
             return None
         return self._final_failure(context, progress, reason)
 
+    async def _relay_silent(
+        self,
+        context: RequestContext,
+        progress: _StreamProgress,
+        exchange: Exchange,
+        silent: _SilentAttempt,
+        *,
+        step: str,
+    ) -> _Completed | _AttemptFailed | Response:
+        """Relay the rest of the response to an attempt whose engine fell silent.
+
+        :param step: step in the log line of the request.
+        """
+        progress.silent.remove(silent)
+        progress.backlog_number = silent.backlog_number
+        context.lifecycle.apply("wait")
+        context.trace.add_step(
+            step, now_s=self.state.now_s(), runner=silent.attempt.entry.instance
+        )
+        result: _Completed | _AttemptFailed | Response | None = None
+        try:
+            result = await self._relay_attempt(
+                context, progress, silent.plan, exchange, silent.attempt
+            )
+        finally:
+            if isinstance(result, _AttemptFailed) and result.silent:
+                progress.silent[-1].free_handle = silent.free_handle
+            else:
+                silent.give_up()
+        self._trace_result(context, progress, result)
+        return result
+
     async def _return_to_engines(
         self, context: RequestContext, progress: _StreamProgress, exchange: Exchange
     ) -> bool:
@@ -509,6 +549,11 @@
             return await self._relay_response(
                 context, progress, plan, exchange, attempt
             )
+        except _OvertakenError as error:
+            context.lifecycle.apply("lose")
+            progress.gave_up_engine = True
+            progress.add_earlier_engine(attempt.entry.instance)
+            return _AttemptFailed(reason=str(error), overtaken_by=error.silent)
         except (UpstreamError, TimeoutError, EventTooLongError) as error:
             silent = isinstance(error, TimeoutError)
             context.lifecycle.apply("lose")
@@ -555,11 +600,13 @@
             sent it.
         :raises TimeoutError: the first or the next event is overdue.
         :raises EventTooLongError: an event exceeds the size limit.
+        :raises _OvertakenError: another engine, which was silent, goes on first.
         """
         first_event_timeout_s = self._first_event_timeout_s(context, progress, plan)
-        head = await attempt.read_head_in_time(first_event_timeout_s)
-        metadata = decode_response_headers(head.headers)
-        verdict = judge_response(head.status, metadata)
+        head = await self._read_unless_overtaken(
+            progress, attempt.read_head_in_time(first_event_timeout_s)
+        )
+        verdict = _judge_head(head)
         if verdict is Verdict.UNVERIFIED:
             raise UpstreamError("response is unsigned or was re-encoded", sent=True)
         if verdict is not Verdict.SUCCESS or head.status != _OK:
@@ -569,7 +616,6 @@
             )
         if not progress.head_sent:
             context.lifecycle.apply("answer")
-        splitter = attempt.splitter
         loop = asyncio.get_running_loop()
         next_event_by_s = _add_timeout(loop.time(), first_event_timeout_s)
         answer_recorded = False
@@ -577,22 +623,18 @@
             waits_since_s = self.state.now_s()
             try:
                 async with asyncio.timeout_at(next_event_by_s):
-                    chunk = await attempt.read_chunk()
+                    goes_on = await self._read_unless_overtaken(
+                        progress, attempt.read_events()
+                    )
             finally:
                 waited_s = self.state.now_s() - waits_since_s
                 context.trace.record_waits(upstream_s=waited_s)
-            if chunk is None:
+            if not goes_on:
                 break
-            events = _undelivered(splitter.feed(chunk), progress.last_event_id)
+            events = _undelivered(attempt.take_events(), progress.last_event_id)
             if not events:
                 continue
-            # Only events with an id show that the engine makes progress, unless it
-            # numbers none of them. Other bytes may come without end.
-            progresses = any(
-                event.event_id is not None
-                or (progress.last_event_id is None and _has_data(event))
-                for event in events
-            )
+            progresses = _shows_progress(events, progress.last_event_id)
             if progresses:
                 progress.close_silent()
             if progresses and attempt.first_event_s is None:
@@ -605,7 +647,7 @@
             if progresses:
                 gap_timeout_s = self._gap_timeout_s(context, progress)
                 next_event_by_s = _add_timeout(loop.time(), gap_timeout_s)
-        if splitter.remainder:
+        if attempt.splitter.remainder:
             raise UpstreamError("stream ended inside an event", sent=True)
         if attempt.first_event_s is None and head.ends_with_connection:
             raise UpstreamError("stream ended before its first event", sent=True)
@@ -618,6 +660,44 @@
         await exchange.finish()
         return _Completed()
 
+    async def _read_unless_overtaken(
+        self, progress: _StreamProgress, reading: Coroutine[Any, Any, _T]
+    ) -> _T:
+        """Read from an engine, and listen to those that fell silent meanwhile.
+
+        What is read has to stay at the attempt, since a timeout may end the wait after
+        it was read.
+
+        :raises _OvertakenError: one of these goes on first.
+        """
+        if not progress.silent:
+            return await reading
+        read = asyncio.ensure_future(reading)
+        waits: dict[asyncio.Future[Any], _SilentAttempt] = {
+            asyncio.ensure_future(
+                _wait_for_progress(item.attempt, progress.last_event_id)
+            ): item
+            for item in progress.silent
+        }
+        pending: set[asyncio.Future[Any]] = {read, *waits}
+        try:
+            while not read.done():
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                if read in done:
+                    break
+                for wait in done:
+                    # The attempt may have been closed at the overlap limit.
+                    if waits[wait] in progress.silent and wait.result():
+                        progress.lift_overlap_limit()
+                        raise _OvertakenError(waits[wait])
+            return read.result()
+        finally:
+            for task in (read, *waits):
+                task.cancel()
+            await asyncio.gather(read, *waits, return_exceptions=True)
+
     async def _send_events(
         self,
         context: RequestContext,
@@ -799,6 +879,41 @@
     return None if timeout_s is None else now_s + timeout_s
 
 
+def _judge_head(head: ResponseHead) -> Verdict:
+    return judge_response(head.status, decode_response_headers(head.headers))
+
+
+async def _wait_for_progress(attempt: Attempt, last_event_id: int | None) -> bool:
+    """Read ahead until the engine of an attempt makes progress.
+
+    :returns: False if its response ends otherwise.
+    """
+    try:
+        head = await attempt.read_head()
+        if head.status != _OK or _judge_head(head) is not Verdict.SUCCESS:
+            return False
+        events: Sequence[Event] | None = attempt.events
+        while events is not None:
+            if _shows_progress(_undelivered(events, last_event_id), last_event_id):
+                return True
+            events = await attempt.read_events_ahead()
+        return attempt.first_event_s is not None and not attempt.splitter.remainder
+    except (UpstreamError, EventTooLongError):
+        return False
+
+
+def _shows_progress(events: Sequence[Event], last_event_id: int | None) -> bool:
+    """Return whether events that the client has not received show progress.
+
+    Only events with an id do, unless the engine numbers none of them. Other bytes may
+    come without end.
+    """
+    return any(
+        event.event_id is not None or (last_event_id is None and _has_data(event))
+        for event in events
+    )
+
+
 def _has_data(event: Event) -> bool:
     """Return whether an event is more than a comment."""
     return _DATA_LINE.search(event.data) is not None
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -603,6 +603,52 @@
         assert len(broken.runs) == 1
 
 
+# Guards against a stream that depends on an engine that sends nothing, although the one
+# that was silent goes on while both have it.
+@pytest.mark.parametrize(
+    ("mode", "silence_s"),
+    [("pause", SOUND_SILENCE_S), ("pause_first", MIN_FIRST_EVENT_TIMEOUT_S)],
+)
+async def test_a_stream_goes_on_at_a_silent_engine_that_sends_first(
+    mode, silence_s, caplog
+):
+    silent = FakeRunner("runner-1", "llm", stage="decode")
+    silent.mode, silent.pause_s = mode, silence_s + MAX_OVERLAP_S / 2
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    with caplog.at_level(logging.INFO):
+        async with running_long_stream_scene(silent, hanging) as scene:
+            answer = await send_long_stream(scene)
+            assert (answer.body, answer.complete) == (STREAM, True)
+            assert len(hanging.received) == 1
+            while not hanging.cancelled_count:
+                await asyncio.sleep(0.01)
+            assert silent.cancelled_count == 0
+            health = scene.process.state.upstreams.health
+            assert not any(health(f"runner-{n}").outstanding for n in (1, 2))
+    (ended,) = [item for item in caplog.records if item.message == "request ended"]
+    went_on = [step for step in ended.steps if step["step"] == "went on"]
+    assert [step["runner"] for step in went_on] == [silent.instance]
+
+
+# Guards against open attempts after the client has left while two engines were read.
+async def test_both_engines_are_given_up_if_the_client_leaves_during_the_overlap():
+    silent = FakeRunner("runner-1", "llm", stage="decode")
+    silent.mode = "stall"
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    async with running_long_stream_scene(silent, hanging) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not hanging.received:
+            await asyncio.sleep(0.01)
+        request.cancel()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while not (silent.cancelled_count and hanging.cancelled_count):
+            await asyncio.sleep(0.01)
+        assert loop.time() - started_s < MAX_OVERLAP_S
+
+
 class LateCut(FakeRunner):
     """Breaks off without an answer shortly before the overlap limit."""
 
