Add a failing test for a stream cut before its client's deadline

Callers see a stream break off 30 ms before the deadline that they sent. An event, or the end, that comes within this time is lost. The share is large where little time is left, as in a client's last retry: in a probe streams with deadlines of 60, 80, 100 and 600 ms ended after 33, 53, 72 and 573 ms.

dispatch._expiry_s subtracts DEADLINE_MARGIN_S from every deadline, so that a final response such as 504 arrives in time. A response that has begun gets no such final response; it is cut, and the client learns nothing sooner that it could use.

--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -807,6 +807,19 @@
         assert (answer.body, answer.complete) == (STREAM, True)
 
 
+# Guards against a stream that is cut before its client's deadline, which takes a large
+# part of the time that a retry has left.
+async def test_a_stream_that_has_begun_has_time_until_the_deadline_of_its_client():
+    engine = FakeRunner("runner-1", "llm", stage="decode")
+    engine.mode = "stall"
+    async with running_scene(engine) as scene:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="600")
+        assert (answer.status, answer.complete) == (200, False)
+        assert loop.time() - started_s >= 0.6
+
+
 # Guards against a stream that is resumed again and again without a pause.
 async def test_a_stream_is_resumed_within_the_retry_budget():
     silent, late = make_late_engines(late_count=100, silent_count=100)
