Let a stream that has begun go on until its client's deadline

Callers saw streams break off 30 ms before their deadline, which is a large part of the time that a retry may have left: in probes after 33, 53 and 72 ms of 60, 80 and 100 ms, and 573 of 600 ms. What the engine sent in these 30 ms would have arrived in time.

Cause: the host keeps a margin before the deadline, in which a final status can reach the client. Once the response has begun no status can follow, and the margin only cut it short. It ends with the start of the response now; the route's timeout and the schedule of a shutdown hold as before.

That the users count such a cut is only suspected.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -204,6 +204,8 @@
     :param quarantine_trial: whether the request tests a quarantined part.
     :param crashed_engine: whether the request may have crashed an engine, so that it
         must not be sent to another one.
+    :param time_limit: limit that ends the request when it expires, None before it is
+        relayed.
     """
 
     request: Request
@@ -218,6 +220,7 @@
     part_keys: tuple[int, ...] = ()
     quarantine_trial: bool = False
     crashed_engine: bool = False
+    time_limit: asyncio.Timeout | None = None
 
     def describe_parts(self) -> dict[str, str]:
         """Return the key of each part by its id, for the log."""
@@ -237,11 +240,24 @@
         """Return the time left until the final response is due, in s."""
         return self.expires_s - now_s
 
+    def extend_to_deadline(self, *, now_s: float, stops_s: float | None) -> None:
+        """Give a response that has begun all of the time that the client waits.
+
+        Before, a margin is kept in which a final status can reach the client.
+
+        :param stops_s: monotonic time at which the host ends all requests, None if it
+            does not shut down.
+        """
+        self.expires_s = now_s + self.deadline_s(now_s)
+        limit = self.time_limit
+        if limit is not None and not limit.expired():
+            limit.reschedule(min(self.expires_s, stops_s or self.expires_s))
+
     def time_to_report_s(self, now_s: float) -> float:
         """Return the time for which an error in hand may be held back, in s."""
         return max(0.0, self.remaining_s(now_s) - REPORT_MARGIN_S)
 
-    def deadline_s(self, now_s: float) -> float | None:
+    def deadline_s(self, now_s: float) -> float:
         """Return the deadline to pass to a runner, in s from now.
 
         It is the shorter of the route's timeout and the client's own deadline.
--- a/lacewinglug/host/dispatch.py
+++ b/lacewinglug/host/dispatch.py
@@ -35,8 +35,9 @@
 logger = logging.getLogger(__name__)
 
 DEADLINE_MARGIN_S = 0.03
-"""Time before the client's deadline at which the final response is sent, in s; must
-exceed the network delay to the client."""
+"""Time before the client's deadline at which a final status is sent, in s; must exceed
+the network delay to the client. A response that has begun is not cut before the
+deadline."""
 
 
 @dataclass(kw_only=True)
@@ -193,6 +194,7 @@
         if remaining_s <= 0.0:
             return self._make_timeout_refusal(context)
         limit = asyncio.timeout(remaining_s)
+        context.time_limit = limit
         self._time_limits.add(limit)
         try:
             async with limit:
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -722,6 +722,11 @@
     ) -> None:
         """Write events to the client, after the response head for the first ones."""
         if not progress.head_sent:
+            schedule = self.state.shutdown
+            context.extend_to_deadline(
+                now_s=self.state.now_s(),
+                stops_s=None if schedule is None else schedule.finish_by_s,
+            )
             await exchange.start_response(_OK, encode_response_headers(headers))
             progress.head_sent = True
         context.lifecycle.apply("relay")
