Hold streams and fix speeds where tests count how runners share them

Cause: the test, not the product. A stream is also placed by the measured speed of the engines, of which 6 ms outweigh one stream more, and the test let the stand-ins' response times on a busy machine be measured. The wave also had to be sent within the 0.8 s of an answer.

Now no request ends before all have arrived, a stream is sent when no prefill is expected, and the host measures fixed speeds that differ by less than a stream above an equal share costs. The counts asserted are the same.

Mutants that fail the new tests: streams of this host not counted, no cost of a batch, and, before the fixed speeds differed, calls in progress not counted.

--- a/tests/host/test_push_back_sharing.py
+++ b/tests/host/test_push_back_sharing.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lacewinglug.host.engines import TrackedEngine
 from tests.host.test_notices import SHORT_PROMPT
 from tests.host.test_push_back import push_back
 from tests.host.test_relay import running_scene
@@ -22,7 +23,17 @@
 WAVE = SLOTS * (RUNNER_COUNT - PUSHING_COUNT)
 """Number of requests that fill the slots of the runners that take them."""
 ANSWER_S = 0.8
-"""Time that a runner takes for a request, so that all of a wave overlap."""
+"""Time that a runner takes for a call, so that all of those sent at once overlap."""
+EVENT_INTERVAL_S = 0.1
+"""Time between two events of a stream; it has as many as its test lets it have."""
+SLOWDOWN_STEP = 0.14
+"""Difference of the slowdowns of two engines, for a short prompt about 3 ms; less than
+the cost of a stream above an equal share of the slots."""
+SLOWDOWN_STEP_ABOVE_SLOTS = 0.09
+"""The same for an equal share of twice as many streams."""
+TIMEOUT_MS = 30_000
+TARGET_LATENCY_MS = 30_000
+"""Target latency, so long that no call is sent again while its answer is held."""
 PATHS = ("/status/", "/notes/1")
 
 
@@ -30,6 +41,7 @@
     """Runner that counts how many requests it runs at once.
 
     :param most_running: highest number so far.
+    :param may_end: whether requests may end.
     """
 
     def __init__(self, *args, **fields):
@@ -37,15 +49,27 @@
         self.mode, self.pause_s = "pause", ANSWER_S
         self.running = 0
         self.most_running = 0
+        self.may_end = asyncio.Event()
+        self.may_end.set()
 
     async def serve(self, request, exchange):
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
+            if self.stage is None:
+                await self.may_end.wait()
             await super().serve(request, exchange)
         finally:
             self.running -= 1
 
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"id: 1\ndata: w\n\n")
+        while not self.may_end.is_set():
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            await exchange.write(b"data: w\n\n")
+        await exchange.finish()
+
 
 @contextlib.asynccontextmanager
 async def running_fleet(path, *, bounds=None):
@@ -58,9 +82,14 @@
     pushing, taking = runners[:PUSHING_COUNT], runners[PUSHING_COUNT:]
     for runner in pushing:
         push_back(runner)
+    fields = {
+        "TimeoutMs": TIMEOUT_MS,
+        "TargetLatencyMs": TARGET_LATENCY_MS,
+        "MaxAttempts": 4,
+    }
     routes = [
-        make_route("status", "safe", "app", TargetLatencyMs=4000, MaxAttempts=4),
-        make_route("notes", "streaming", "llm", TargetLatencyMs=4000, MaxAttempts=4),
+        make_route("status", "safe", "app", **fields),
+        make_route("notes", "streaming", "llm", **fields),
     ]
     configuration = make_configuration(routes=routes)
     async with running_scene(
@@ -70,9 +99,10 @@
 
 
 async def send_request(scene, path):
+    headers = {"X_Lacewinglug_Deadline_Ms": str(TIMEOUT_MS)}
     if path == "/status/":
-        return await scene.send_request(path, method="GET", body=b"")
-    return await scene.send_request(path, **SHORT_PROMPT)
+        return await scene.send_request(path, method="GET", body=b"", **headers)
+    return await scene.send_request(path, **SHORT_PROMPT, **headers)
 
 
 async def send_at_once(scene, path, count):
@@ -81,16 +111,48 @@
 
 
 async def send_in_turn(scene, path, count):
-    """Send each request when the one before has arrived, and return all answers."""
+    """Send each request when the one before has arrived, and return all answers.
+
+    No request ends before all have arrived, and each is sent when the host expects no
+    prefill to be in progress.
+    """
     tasks = []
+    for runner in scene.runners:
+        runner.may_end.clear()
     for _ in range(count):
         arrivals = sum(count_arrivals(scene.runners))
         tasks.append(asyncio.create_task(send_request(scene, path)))
-        while sum(count_arrivals(scene.runners)) == arrivals:
+        while sum(count_arrivals(scene.runners)) == arrivals or expects_prefill(scene):
             await asyncio.sleep(0.001)
+    for runner in scene.runners:
+        runner.may_end.set()
     return await asyncio.gather(*tasks)
 
 
+def expects_prefill(scene):
+    """Return whether the host expects an engine to have prefill work."""
+    state = scene.process.state
+    engines = [state.engines.get(runner.instance) for runner in scene.runners]
+    return any(
+        engine is not None and not engine.backlog.idle(now_s=state.now_s())
+        for engine in engines
+    )
+
+
+def set_slowdowns(monkeypatch, step):
+    """Let the host measure each engine as slower than the one before, by a fixed step.
+
+    A stream is also placed by the measured speed, and on a busy machine the first
+    events of stand-ins differ by more than one stream costs.
+    """
+
+    def set_slowdown(engine, *_, **__):
+        rank = int(engine.entry.instance.rpartition("-")[2]) - PUSHING_COUNT
+        engine.prefill_slowdown.factor = 1.0 + step * max(0, rank)
+
+    monkeypatch.setattr(TrackedEngine, "record_prefill", set_slowdown)
+
+
 async def learn_push_back(scene, path, pushing):
     """Send requests until each of the runners has turned one away."""
     while min(count_arrivals(pushing)) == 0:
@@ -108,7 +170,8 @@
 
 # Guards against a queue at one runner while another one has free slots.
 @pytest.mark.parametrize("path", PATHS)
-async def test_runners_that_take_requests_share_them(path):
+async def test_runners_that_take_requests_share_them(path, monkeypatch):
+    set_slowdowns(monkeypatch, SLOWDOWN_STEP)
     async with running_fleet(path) as (scene, pushing, taking):
         await learn_push_back(scene, path, pushing)
         turned_away = count_arrivals(pushing)
@@ -121,7 +184,10 @@
 
 # Guards against a longer queue at one runner once all slots are taken.
 @pytest.mark.parametrize("path", PATHS)
-async def test_runners_that_take_requests_share_those_above_their_slots(path):
+async def test_runners_that_take_requests_share_those_above_their_slots(
+    path, monkeypatch
+):
+    set_slowdowns(monkeypatch, SLOWDOWN_STEP_ABOVE_SLOTS)
     async with running_fleet(path) as (scene, pushing, taking):
         await learn_push_back(scene, path, pushing)
         answers = await send_in_turn(scene, path, 2 * WAVE)
