Hold the clock of a shutdown where a test checks its phases

Cause: the test. It had 0.4 s, the notice itself, from the order until that prompt, and the long answer had to last 1.5 s while the phases were checked. Now the clock of the shutdown stands still between steps: requests are taken until just before the end of the notice, also after any pause, and refused from its end on. The long answer takes 20 s unless it is let go.

--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from lacewinglug.clock import SystemClock
 from lacewinglug.entry import server
 from lacewinglug.entry.gate import RequestLimiter
 from lacewinglug.entry.shutdown import EntryShutdown
@@ -14,6 +15,23 @@
 
 PROMPT = "which bay is free"
 FAST_SHUTDOWN = ["entry.address_ttl_s=0.3", "entry.leave_notice_s=0.1"]
+NOTICE_S = 0.4
+"""Time for which a fast shutdown accepts requests."""
+SLOW_TOKEN_INTERVAL_S = 0.1
+"""Interval at which a long answer does not end while the phases are checked."""
+
+
+class HeldClock(SystemClock):
+    """Clock that stands still between its steps.
+
+    :param time_s: time that it shows.
+    """
+
+    def __init__(self):
+        self.time_s = 0.0
+
+    def now_s(self):
+        return self.time_s
 
 
 async def fetch_addresses(entry):
@@ -33,17 +51,23 @@
 
 @pytest.mark.parametrize("order", ["signal", "drain", "withdraw"])
 async def test_shutdown_completes_streams_and_refuses_new_requests(order):
-    async with local_entry(overrides=FAST_SHUTDOWN) as entry:
+    async with local_entry(
+        overrides=FAST_SHUTDOWN, token_interval_s=SLOW_TOKEN_INTERVAL_S
+    ) as entry:
+        entry.shutdown.clock = clock = HeldClock()
         assert len(await fetch_addresses(entry)) == 2
-        async with entry.prompt(max_tokens=300) as running:
+        async with entry.prompt(max_tokens=200) as running:
             await running.content.readline()
             request_stop(entry, order)
             await wait_for(lambda: entry.app.context.leaving)
+            clock.time_s = 0.99 * NOTICE_S
             other, *_ = await fetch_addresses(entry)
             assert other != entry.url
             async with entry.prompt(max_tokens=1) as kept:
                 lines = (await kept.read()).splitlines()
                 assert judge_answer(PROMPT, 1, lines) == ("answered", [])
+            assert not entry.limiter.refuses_new_requests
+            clock.time_s = NOTICE_S
             await wait_for(lambda: entry.limiter.refuses_new_requests)
             async with entry.prompt() as refused:
                 assert refused.status == 503
@@ -52,9 +76,11 @@
                 assert other in body["remedy"]
                 assert refused.headers["X-Entry-Addresses"] == other
             assert not entry.serving.done()
+            for engine in entry.engines.values():
+                engine.token_interval_s = 0.0
             first = b'{"type":"token","index":0,"text":"a412133f "}'
             lines = [first, *(await running.read()).splitlines()]
-            assert judge_answer(PROMPT, 300, lines) == ("answered", [])
+            assert judge_answer(PROMPT, 200, lines) == ("answered", [])
         await entry.serving
         with pytest.raises(aiohttp.ClientConnectorError):
             await fetch_addresses(entry)
