Move the sound runners of the play of changes into a module of their own

The soak, the play of changes and tests of their own shall share one model of sound runners: silences, early and late rejections, answers without a length, handles that lapse, slow machines and leaving as planned.

The play of changes uses it.

--- a/tests/host/change_play.py
+++ b/tests/host/change_play.py
@@ -19,7 +19,6 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from lacewinglug.wire.messages import first_header
 from tests.host.hosting import running_host
 from tests.platform.scene import (
     ENGINE,
@@ -31,7 +30,7 @@
     make_route,
     read_response,
 )
-from tests.platform.standin import FakeRunner
+from tests.platform.sound_runner import SOUND, RunnerModel, Serve, SoundRunner
 
 PLAY_S = 5.0
 """Time for which requests are sent."""
@@ -39,111 +38,16 @@
 """Connections, each with one request at a time."""
 CHANGE_INTERVAL_S = (0.02, 0.4)
 """Shortest and longest time between two versions of the configuration."""
-SILENCE_S = (0.7, 1.3)
-"""Shortest and longest time for which a sound runner is silent."""
 SILENCE_INTERVAL_S = (1.5, 3.0)
 """Shortest and longest time between two silences of many runners at once."""
 REUSE_FRACTION = 0.8
 """Fraction of the idle limit in force for which clients reuse a connection."""
 EVENTS = 5
-STREAM = b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 PATHS = ("/status/", "/unlock/1", "/ask/1", "/notes/1")
-WAYS = {
-    "serve": 36,
-    "silent": 12,
-    "silent_later": 20,
-    "unframed": 10,
-    "unframed_silent": 4,
-    "reject": 14,
-    "reject_late": 6,
-    "break": 4,
-}
+WAYS = {**SOUND, Serve(breaks_off=True): 4}
 """Ways in which a runner handles a request, with their weights."""
 
 
-class RestlessRunner(FakeRunner):
-    """Runner that handles each request in a random way.
-
-    :param rng: source of randomness.
-    :param broken: ids of the requests that a runner broke off.
-    :param silent_until_s: time of the event loop until which it is silent as a whole.
-    """
-
-    silent_until_s = 0.0
-
-    def __init__(self, *args, rng, broken, **fields):
-        super().__init__(*args, event_count=EVENTS, **fields)
-        self.rng = rng
-        self.broken = broken
-
-    async def wait_for_silence(self):
-        """Wait until the end of a silence of the whole runner."""
-        loop = asyncio.get_running_loop()
-        while (left_s := self.silent_until_s - loop.time()) > 0:
-            await asyncio.sleep(left_s)
-
-    async def serve(self, request, exchange):
-        await self.wait_for_silence()
-        way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
-        silence_s = self.rng.uniform(*SILENCE_S)
-        if way == "reject_late":
-            await asyncio.sleep(silence_s)
-        if way.startswith("reject"):
-            await exchange.respond(self.make_response(request, 503, rejected=True))
-            return
-        if way == "silent":
-            await asyncio.sleep(silence_s)
-        if way == "break":
-            self.broken.add(first_header(request.headers, b"x-lacewinglug-request-id"))
-        pieces = [b"do", b"ne"] if self.stage is None else self._events(request)
-        unframed = way.startswith("unframed")
-        if unframed:
-            write = exchange._transport.write
-            write(b"HTTP/1.1 200 OK\r\n")
-            for name, value in self.response_headers(request):
-                write(name + b": " + value + b"\r\n")
-            write(b"\r\n")
-        else:
-            await exchange.start_response(200, self.response_headers(request))
-        for number, piece in enumerate(pieces):
-            if number == 1 and way in ("silent_later", "unframed_silent"):
-                await asyncio.sleep(silence_s)
-            await self.wait_for_silence()
-            if number == 1 and way == "break":
-                exchange.abort()
-                return
-            if unframed:
-                write(piece)
-            else:
-                await exchange.write(piece)
-            await asyncio.sleep(self.rng.uniform(0.0, 0.05))
-        if unframed:
-            exchange.close()
-        else:
-            await exchange.finish()
-
-    async def prefill(self, request, exchange):
-        await self.wait_for_silence()
-        way = self.rng.choices([*WAYS], [*WAYS.values()])[0]
-        if way == "reject_late":
-            await asyncio.sleep(self.rng.uniform(*SILENCE_S))
-        if way.startswith("reject"):
-            await exchange.respond(self.make_response(request, 503, rejected=True))
-        elif way == "break":
-            exchange.abort()
-        else:
-            if "silent" in way:
-                await asyncio.sleep(2 * self.rng.uniform(*SILENCE_S))
-            await super().prefill(request, exchange)
-
-    def _events(self, request):
-        last = int(first_header(request.headers, b"last-event-id") or 0)
-        return [
-            b"id: %d\ndata: w%d\n\n" % (n, n)
-            for n in range(last + 1, self.event_count + 1)
-        ]
-
-
 @dataclass(kw_only=True)
 class ChangePlay:
     """One play.
@@ -165,15 +69,15 @@
     versions: int = 1
     metrics: str = ""
     _limits: dict = field(default_factory=lambda: LIMITS)
-    _broken: set = field(default_factory=set)
 
     async def run(self):
         """Play once."""
         rng = random.Random(self.seed)
         self._rng = rng
-        fields = {"rng": rng, "broken": self._broken}
+        self._model = RunnerModel(rng=rng, ways=WAYS)
+        fields = {"model": self._model, "event_count": EVENTS}
         runners = [
-            RestlessRunner(f"{service}-{n}", service, stage=stage, **fields)
+            SoundRunner(f"{service}-{n}", service, stage=stage, **fields)
             for service, stage, count in (
                 ("app", None, 3),
                 ("spare", None, 2),
@@ -213,7 +117,7 @@
             await asyncio.sleep(self._rng.uniform(*SILENCE_INTERVAL_S))
             for runner in scene.runners:
                 if self._rng.random() < 0.5:
-                    runner.silent_until_s = loop.time() + self._rng.uniform(*SILENCE_S)
+                    runner.silent_until_s = loop.time() + self._model.draw_silence_s()
 
     async def _change(self, scene):
         """Publish versions of the configuration, and let a runner leave with each."""
@@ -317,7 +221,7 @@
                 continue
             writer.close()
             writer = None
-            if request_id.encode() in self._broken:
+            if request_id in self._model.broken:
                 continue
             if request_id not in self._outcomes and response is None:
                 self.unread += 1
