--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -8,7 +8,7 @@
 from lacewinglug.host.budget import RetryBudget
 from lacewinglug.host.distance import Geography
 from lacewinglug.host.engines import EngineTracker, EngineWork
-from lacewinglug.host.events import EventSplitter
+from lacewinglug.host.events import Event, EventSplitter
 from lacewinglug.host.fleet import FleetView
 from lacewinglug.host.life import RequestLifecycle
 from lacewinglug.host.model import (
@@ -52,6 +52,8 @@
 MAX_ENGINE_RESPONSE_BYTES = 1_048_576
 """Size limit of the response to such a call; lists of cached prompt parts are the
 largest."""
+MAX_AHEAD_BYTES = 65_536
+"""Size of events read ahead, in bytes, above which no more are read."""
 MAX_STALE_RESPONSE_BYTES = 1_048_576
 """Size limit of such a response; one that is larger may have no end."""
 MAX_STALE_RESPONSES = 2
@@ -202,6 +204,8 @@
     :param quarantine_trial: whether the request tests a quarantined part.
     :param crashed_engine: whether the request may have crashed an engine, so that it
         must not be sent to another one.
+    :param time_limit: limit that ends the request when it expires, None before it is
+        relayed.
     """
 
     request: Request
@@ -216,6 +220,7 @@
     part_keys: tuple[int, ...] = ()
     quarantine_trial: bool = False
     crashed_engine: bool = False
+    time_limit: asyncio.Timeout | None = None
 
     def describe_parts(self) -> dict[str, str]:
         """Return the key of each part by its id, for the log."""
@@ -235,11 +240,24 @@
         """Return the time left until the final response is due, in s."""
         return self.expires_s - now_s
 
+    def extend_to_deadline(self, *, now_s: float, stops_s: float | None) -> None:
+        """Give a response that has begun all of the time that the client waits.
+
+        Before, a margin is kept in which a final status can reach the client.
+
+        :param stops_s: monotonic time at which the host ends all requests, None if it
+            does not shut down.
+        """
+        self.expires_s = now_s + self.deadline_s(now_s)
+        limit = self.time_limit
+        if limit is not None and not limit.expired():
+            limit.reschedule(min(self.expires_s, stops_s or self.expires_s))
+
     def time_to_report_s(self, now_s: float) -> float:
         """Return the time for which an error in hand may be held back, in s."""
         return max(0.0, self.remaining_s(now_s) - REPORT_MARGIN_S)
 
-    def deadline_s(self, now_s: float) -> float | None:
+    def deadline_s(self, now_s: float) -> float:
         """Return the deadline to pass to a runner, in s from now.
 
         It is the shorter of the route's timeout and the client's own deadline.
@@ -283,6 +301,7 @@
     :param context: the request.
     :param entry: the runner.
     :param first_event_s: monotonic time of the first event of a stream, None before it.
+    :param events: events that were read and not taken yet.
     """
 
     def __init__(
@@ -295,15 +314,21 @@
         self.started_s = state.now_s()
         self._pool: ConnectionPool = state.upstreams.pool(entry, context.service)
         self._connection: ClientConnection | None = None
+        self._is_outstanding = False
         self._stale_responses = 0
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self.splitter = EventSplitter()
         self.first_event_s: float | None = None
+        self.events: list[Event] = []
+        self._has_ended = False
 
     async def connect(self) -> None:
         """Acquire a connection to the runner.
 
+        The request counts as load of the runner from here on, so that others that are
+        placed while the connection is being opened can choose another runner.
+
         :raises UpstreamError: no connection is available, or the runner may not get
             the request; nothing was sent.
         """
@@ -311,12 +336,12 @@
         timeout_s = min(
             CONNECT_TIMEOUT_S, max(0.05, self._context.remaining_s(self._state.now_s()))
         )
+        self._set_outstanding(True)
         try:
             self._connection = await self._pool.acquire(timeout_s=timeout_s)
         except UpstreamError:
             self.health.record_unreachable(now_s=self._state.now_s())
             raise
-        self.health.outstanding += 1
 
     def send(self, fields: ForwardingFields) -> None:
         """Send the request.
@@ -391,6 +416,39 @@
         self._record_response()
         return chunk
 
+    async def read_events(self) -> bool:
+        """Wait for events to take; return whether the body has not ended regularly.
+
+        :raises UpstreamError: the body is truncated.
+        :raises EventTooLongError: an event exceeds the size limit.
+        """
+        return bool(self.events) or await self.read_events_ahead() is not None
+
+    async def read_events_ahead(self) -> list[Event] | None:
+        """Return further events, None at the regular end of the body.
+
+        They are kept until they are taken, even if the caller is cancelled.
+
+        :raises UpstreamError: the body is truncated, or too much was read ahead.
+        :raises EventTooLongError: an event exceeds the size limit.
+        """
+        if self._has_ended:
+            return None
+        if sum(len(event.data) for event in self.events) > MAX_AHEAD_BYTES:
+            raise UpstreamError("too much to read ahead", sent=True)
+        chunk = await self.read_chunk()
+        if chunk is None:
+            self._has_ended = True
+            return None
+        events = self.splitter.feed(chunk)
+        self.events += events
+        return events
+
+    def take_events(self) -> list[Event]:
+        """Return the events that were read and not taken yet."""
+        events, self.events = self.events, []
+        return events
+
     def _check_notices(self) -> None:
         """Check that the runner may get a request now.
 
@@ -435,14 +493,19 @@
         if self._connection is not None:
             self._pool.release(self._connection, head.headers)
             self._connection = None
-            self.health.outstanding -= 1
+        self._set_outstanding(False)
 
     def close(self) -> None:
         """Close the connection unless it was released already."""
         if self._connection is not None:
             self._pool.abort(self._connection)
             self._connection = None
-            self.health.outstanding -= 1
+        self._set_outstanding(False)
+
+    def _set_outstanding(self, outstanding: bool) -> None:
+        """Count the request as load of the runner, or no longer; each at most once."""
+        self.health.outstanding += int(outstanding) - int(self._is_outstanding)
+        self._is_outstanding = outstanding
 
     async def _discard_stale_response(self) -> None:
         """Discard the response to an earlier request on this connection.
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -603,6 +603,52 @@
         assert len(broken.runs) == 1
 
 
+# Guards against a stream that depends on an engine that sends nothing, although the one
+# that was silent goes on while both have it.
+@pytest.mark.parametrize(
+    ("mode", "silence_s"),
+    [("pause", SOUND_SILENCE_S), ("pause_first", MIN_FIRST_EVENT_TIMEOUT_S)],
+)
+async def test_a_stream_goes_on_at_a_silent_engine_that_sends_first(
+    mode, silence_s, caplog
+):
+    silent = FakeRunner("runner-1", "llm", stage="decode")
+    silent.mode, silent.pause_s = mode, silence_s + MAX_OVERLAP_S / 2
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    with caplog.at_level(logging.INFO):
+        async with running_long_stream_scene(silent, hanging) as scene:
+            answer = await send_long_stream(scene)
+            assert (answer.body, answer.complete) == (STREAM, True)
+            assert len(hanging.received) == 1
+            while not hanging.cancelled_count:
+                await asyncio.sleep(0.01)
+            assert silent.cancelled_count == 0
+            health = scene.process.state.upstreams.health
+            assert not any(health(f"runner-{n}").outstanding for n in (1, 2))
+    (ended,) = [item for item in caplog.records if item.message == "request ended"]
+    went_on = [step for step in ended.steps if step["step"] == "went on"]
+    assert [step["runner"] for step in went_on] == [silent.instance]
+
+
+# Guards against open attempts after the client has left while two engines were read.
+async def test_both_engines_are_given_up_if_the_client_leaves_during_the_overlap():
+    silent = FakeRunner("runner-1", "llm", stage="decode")
+    silent.mode = "stall"
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    async with running_long_stream_scene(silent, hanging) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not hanging.received:
+            await asyncio.sleep(0.01)
+        request.cancel()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while not (silent.cancelled_count and hanging.cancelled_count):
+            await asyncio.sleep(0.01)
+        assert loop.time() - started_s < MAX_OVERLAP_S
+
+
 class LateCut(FakeRunner):
     """Breaks off without an answer shortly before the overlap limit."""
 
@@ -785,6 +831,64 @@
         assert loop.time() - started_s < late.late_s + MAX_OVERLAP_S + 1.0
 
 
+# Guards against a stream that is cut with an engine ready and time left, since the
+# engine that was silent and the one that rejected it have left.
+@pytest.mark.parametrize("listed", [True, False])
+async def test_a_stream_goes_on_elsewhere_if_all_engines_that_had_it_have_left(listed):
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        ready = FakeRunner("runner-3", "llm", stage="decode", zone="qc-a")
+        scene.runners.append(await ready.open())
+        await scene.store.put("keyed.servers", ready.instance, ready.entry())
+        for runner in (silent, late):
+            if listed:
+                entry = runner.entry("draining")
+                await scene.store.put("keyed.servers", runner.instance, entry)
+            else:
+                await scene.store.drop("keyed.servers", runner.instance)
+        answer = await request
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
+# Guards against a stream that runs on more engines than its route has attempts, once
+# those that had it have left.
+async def test_a_stream_runs_on_no_more_engines_than_its_route_has_attempts():
+    silent, late = make_late_engines(late_count=100, silent_count=100)
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        others = [
+            FakeRunner(f"runner-{number}", "llm", stage="decode", zone="qc-a")
+            for number in (3, 4)
+        ]
+        for other in others:
+            other.mode = "cut"
+            scene.runners.append(await other.open())
+            await scene.store.put("keyed.servers", other.instance, other.entry())
+        for runner in (silent, late):
+            await scene.store.drop("keyed.servers", runner.instance)
+        answer = await request
+        assert not answer.complete
+        assert [len(other.received) for other in others].count(0) == 1
+
+
+# Guards against a stream that is cut before its client's deadline, which takes a large
+# part of the time that a retry has left.
+async def test_a_stream_that_has_begun_has_time_until_the_deadline_of_its_client():
+    engine = FakeRunner("runner-1", "llm", stage="decode")
+    engine.mode = "stall"
+    async with running_scene(engine) as scene:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await scene.send_request("/ask/1", X_Lacewinglug_Deadline_Ms="600")
+        assert (answer.status, answer.complete) == (200, False)
+        assert loop.time() - started_s >= 0.6
+
+
 # Guards against a stream that is resumed again and again without a pause.
 async def test_a_stream_is_resumed_within_the_retry_budget():
     silent, late = make_late_engines(late_count=100, silent_count=100)
