Ask begun responses to last until the deadline in the judge of the soak

The judge let a response end 0.03 s before its client's deadline, since hosts ended all of them then. They end only those so that have not begun, which get a status and are no cuts.

Measured: tests/soak/test_cuts.py and test_judge.py pass.

--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -11,7 +11,7 @@
 CONFIG_APPLY_S = 2.5
 """Time that a host has to apply a configuration, in s."""
 WAY_BACK_S = 0.03
-"""Time before the client's deadline at which a host sends its last answer, in s."""
+"""Time before the client's deadline at which a host sends a final status, in s."""
 STABLE_S = 4.0
 """Time that a disruption of the store still counts after its end, in s."""
 
@@ -67,8 +67,8 @@
     else:
         timeouts_s = _timeouts_in_force(item, evidence.published)
         took_s = item.ended_s - item.sent_s - item.paused_s
-    limit_s = min(item.deadline_s - WAY_BACK_S, max(timeouts_s, default=float("inf")))
-    return took_s >= limit_s
+    deadline_s = item.deadline_s - (WAY_BACK_S if item.whole else 0.0)
+    return took_s >= min(deadline_s, max(timeouts_s, default=float("inf")))
 
 
 def _timeouts_in_force(item, published):
--- a/tests/soak/test_cuts.py
+++ b/tests/soak/test_cuts.py
@@ -59,6 +59,7 @@
             Excuse.TIMED_OUT,
         ),
         (replace(CUT, deadline_s=2.0), [RUN], {}, Excuse.TIMED_OUT),
+        (replace(CUT, deadline_s=2.01), [RUN], {}, None),
         (replace(CALL, ended_s=13.0), [RUN], {}, Excuse.TIMED_OUT),
         (CUT, [RUN], {"faults": [STORE]}, Excuse.STORE),
         (CUT, [RUN], {"faults": [replace(STORE, end_s=5.9)]}, None),
