--- a/tests/platform/sound_runner.py
+++ b/tests/platform/sound_runner.py
@@ -44,7 +44,7 @@
 
 
 PROMPT: Mapping[Serve | Reject, int] = {Serve(): 1}
-SOUND: Mapping[Serve | Reject, int] = {
+SOUND: dict[Serve | Reject, int] = {
     Serve(): 36,
     Serve(silent_before=True): 12,
     Serve(silent_amid=True): 20,
@@ -54,6 +54,8 @@
     Reject(late=True): 6,
 }
 """Ways of a sound runner to handle a request, with their weights."""
+UNWILLING: Mapping[Serve | Reject, int] = SOUND | {Reject(): 20, Reject(late=True): 40}
+"""The same of a runner that rejects many requests, most of them late."""
 
 
 @dataclass(kw_only=True)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -5,7 +5,7 @@
 import signal
 
 from tests.platform.scene import ENGINE, LIMITS, connect, make_configuration, make_route
-from tests.platform.sound_runner import PROMPT, SOUND
+from tests.platform.sound_runner import PROMPT, SOUND, UNWILLING
 from tests.soak.faults import FaultInjector
 from tests.soak.fleet import FleetShape
 
@@ -69,7 +69,8 @@
             self.trouble_store: (2.0, 6.0),
         }
         drawn = [action for action in intervals_s if self.rng.random() < 0.6]
-        self.fleet.model.ways = SOUND
+        self.fleet.model.ways = self.rng.choice([SOUND, UNWILLING])
+        await self.fleet.publish(self._draw_configuration)
         end_s = self.fleet.now_s() + self.duration_s
         async with asyncio.TaskGroup() as group:
             for action in drawn or [self.change]:
