--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,9 +1,11 @@
 """Faults that a soak injects from outside, drawn by its seed."""
 
 import asyncio
+import random
 import signal
 
 from lacewinglug.standin.relay import PathState
+from tests.platform.scene import make_configuration
 from tests.soak.records import Fault
 
 SPAN_S = 9.0
@@ -20,7 +22,8 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.rng = fleet.rng
+        # Drawn apart from the rest, so that a seed stands for the same faults.
+        self.rng = random.Random(fleet.seed)
         self._busy_hosts = set()
 
     async def run(self):
@@ -101,6 +104,7 @@
         if (host := self._take_host()) is None:
             return
         fault = self._note(f"terminate {host.name}", planned=True)
+        self.fleet.evidence.stops.append((host.name, fault.start_s))
         for _ in range(self.rng.randint(1, 3)):
             if host.process.poll() is None:
                 host.send(signal.SIGTERM)
@@ -129,7 +133,7 @@
         """Publish one to four configurations in a row."""
         fault = self._note("configure", planned=True)
         for _ in range(self.rng.randint(1, 4)):
-            await self.fleet.publish()
+            await self.fleet.publish(make_configuration)
             await asyncio.sleep(self.rng.uniform(0, 0.2))
         self._end(fault)
 
