Excuse in the calm soak what its own client gave up after its deadline

The logs show that the client closed the connection, half a second after its deadline as it always does ('client_left'); the host had read the request 1.7 s after it was sent and counted the deadline from then, so that its log line had 1.85 s. At that time the same host ended three more requests up to 0.97 s past their time and wrote no line for a second; why it stalled is not shown. The rule excuses a request whose deadline was reached. Such requests are counted apart.

--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -23,6 +23,7 @@
     CROSSED = "crossed a close"
     BROKEN_OFF = "runner broke off"
     TIMED_OUT = "deadline or timeout"
+    GAVE_UP = "client gave up after its deadline"
     AT_WORK = "at work at the end of the grace period"
     STORE = "stream beside trouble of the store"
 
@@ -38,6 +39,8 @@
         return Excuse.BROKEN_OFF
     if reached_limit(item, evidence):
         return Excuse.TIMED_OUT
+    if item.gave_up:
+        return Excuse.GAVE_UP
     if _was_at_work(item, runs, evidence):
         return Excuse.AT_WORK
     if item.kind.streams and any(
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -36,6 +36,8 @@
     :param all_sent_s: time at which the last byte was sent, None if it never was.
     :param paused_s: time for which the client did not read.
     :param deadline_s: time that the client gives.
+    :param gave_up: whether the client closed the connection, some time after its
+        deadline.
     :param status: status of the answer, None where there was none.
     :param whole: whether the answer came to its proper end.
     :param events: events of the answer if it is a stream.
@@ -52,6 +54,7 @@
     paused_s: float = 0.0
     deadline_s: float = 60.0
     events: int = EVENTS
+    gave_up: bool = False
     status: int | None = None
     signature: str = ""
     answer: bytes = b""
--- a/tests/soak/test_cuts.py
+++ b/tests/soak/test_cuts.py
@@ -60,6 +60,13 @@
         ),
         (replace(CUT, deadline_s=2.0), [RUN], {}, Excuse.TIMED_OUT),
         (replace(CUT, deadline_s=2.01), [RUN], {}, None),
+        # A host that reads a request late counts its time from then.
+        (
+            replace(CUT, ended_s=16.5, gave_up=True),
+            [RUN],
+            {"traces": {"r": replace(TRACE, took_s=1.85)}},
+            Excuse.GAVE_UP,
+        ),
         (replace(CALL, ended_s=13.0), [RUN], {}, Excuse.TIMED_OUT),
         (CUT, [RUN], {"faults": [STORE]}, Excuse.STORE),
         (CUT, [RUN], {"faults": [replace(STORE, end_s=5.9)]}, None),
