--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 
 import pytest
@@ -649,6 +650,114 @@
         assert loop.time() - started_s < MAX_OVERLAP_S
 
 
+class LateAnswer(FakeRunner):
+    """Sends a response of one piece after a silence.
+
+    :param late_s: that silence, in s.
+    :param status: status of the response; 503 says that the request has not run.
+    """
+
+    def __init__(self, *args, late_s, status=503, **fields):
+        super().__init__(*args, **fields)
+        self.late_s = late_s
+        self.status = status
+
+    async def run(self, request, exchange):
+        self.received.append(request)
+        await asyncio.sleep(self.late_s)
+        rejected = self.status == 503
+        await exchange.respond(
+            self.make_response(request, self.status, rejected=rejected)
+        )
+
+
+# Guards against a request that is held until its timeout although both engines have
+# answered it: the silent one first, while the next one had it.
+@pytest.mark.parametrize("status", [503, 500])
+async def test_a_request_ends_once_the_silent_engine_and_the_next_one_have_answered(
+    status,
+):
+    silent = LateAnswer(
+        "runner-1",
+        "llm",
+        stage="decode",
+        late_s=MIN_FIRST_EVENT_TIMEOUT_S + MAX_OVERLAP_S / 3,
+        status=status,
+    )
+    other = LateAnswer(
+        "runner-2", "llm", stage="decode", zone="qc-a", late_s=MAX_OVERLAP_S * 2 / 3
+    )
+    async with running_long_stream_scene(silent, other) as scene:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await send_long_stream(scene)
+        assert answer.status in (500, 502, 503)
+        assert loop.time() - started_s < MIN_FIRST_EVENT_TIMEOUT_S + 1.0
+        assert (len(silent.received), len(other.received)) == (1, 1)
+
+
+class RejectOnDemand(FakeRunner):
+    """Rejects a request when the test says so."""
+
+    async def run(self, request, exchange):
+        self.reject = functools.partial(
+            exchange.respond, self.make_response(request, 503, rejected=True)
+        )
+        self.received.append(request)
+        await asyncio.sleep(600)
+
+
+class RestAtOnce(FakeRunner):
+    """Sends the rest of its stream in the moment in which another engine rejects it."""
+
+    other = None
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(STREAM[: STREAM.index(b"id: 2")])
+        while not self.other.received:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(MAX_OVERLAP_S / 3)
+        # None of these waits, so the host gets both in one turn of the event loop.
+        await self.other.reject()
+        await exchange.write(STREAM[STREAM.index(b"id: 2") :])
+        await exchange.finish()
+
+
+# Guards against a stream that is cut at its timeout although its rest was received.
+async def test_the_rest_of_a_silent_engine_is_relayed_if_the_next_one_rejects_then():
+    silent = RestAtOnce("runner-1", "llm", stage="decode")
+    silent.other = RejectOnDemand("runner-2", "llm", stage="decode", zone="qc-a")
+    async with running_long_stream_scene(silent, silent.other) as scene:
+        answer = await send_long_stream(scene)
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
+class UnframedCut(FakeRunner):
+    """Sends a stream without framing, and ends after the first event and a silence."""
+
+    async def run(self, request, exchange):
+        self.received.append(request)
+        lines = [b"HTTP/1.1 200 OK", b"Connection: close"]
+        lines += [b"%b: %b" % field for field in self.response_headers(request)]
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        exchange._transport.write(head + STREAM[: STREAM.index(b"id: 2")])
+        await asyncio.sleep(SOUND_SILENCE_S + MAX_OVERLAP_S / 2)
+        exchange.close()
+
+
+# Guards against a stream that looks complete since its silent engine ended, although
+# the next one has it and goes on.
+async def test_the_end_of_a_silent_engine_without_framing_does_not_end_a_stream():
+    silent = UnframedCut("runner-1", "llm", stage="decode")
+    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    other.mode, other.pause_s = "pause_first", MAX_OVERLAP_S * 3 / 4
+    async with running_long_stream_scene(silent, other) as scene:
+        answer = await send_long_stream(scene)
+        assert len(other.received) == 1
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
 class LateCut(FakeRunner):
     """Breaks off without an answer shortly before the overlap limit."""
 
@@ -889,6 +998,53 @@
         assert loop.time() - started_s >= 0.6
 
 
+class EventThenCut(FakeRunner):
+    """Resumes a stream for one event, then breaks off."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        await exchange.write(b"id: 2\ndata: w2\n\n")
+        await asyncio.sleep(0.8)
+        exchange.abort()
+
+
+# Guards against a stream that runs on one engine more than its route has attempts,
+# since one that rejected it before is registered again.
+async def test_an_engine_that_comes_back_is_no_exception_to_the_limit_of_attempts():
+    silent, late = make_late_engines(late_count=1, silent_count=0)
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        other = EventThenCut("runner-3", "llm", stage="decode", zone="qc-a")
+        scene.runners.append(await other.open())
+        await scene.store.put("keyed.servers", other.instance, other.entry())
+        for runner in (silent, late):
+            await scene.store.drop("keyed.servers", runner.instance)
+        while not other.received:
+            await asyncio.sleep(0.01)
+        await scene.store.put("keyed.servers", late.instance, late.entry())
+        await request
+        assert sum(bool(runner.runs) for runner in (silent, late, other)) == 2
+
+
+# Guards against a stream that waits for an engine that has asked for a pause, although
+# another one may take it.
+async def test_a_stream_goes_on_elsewhere_if_the_engine_that_rejected_it_pauses():
+    silent, late = make_late_engines(late_count=1, silent_count=0)
+    late.retry_after = b"30"
+    async with running_long_stream_scene(silent, late) as scene:
+        request = asyncio.create_task(send_long_stream(scene))
+        while not late.received:
+            await asyncio.sleep(0.01)
+        ready = FakeRunner("runner-3", "llm", stage="decode", zone="qc-a")
+        scene.runners.append(await ready.open())
+        await scene.store.put("keyed.servers", ready.instance, ready.entry())
+        await scene.store.drop("keyed.servers", silent.instance)
+        answer = await request
+        assert (answer.body, answer.complete) == (STREAM, True)
+
+
 # Guards against a stream that is resumed again and again without a pause.
 async def test_a_stream_is_resumed_within_the_retry_budget():
     silent, late = make_late_engines(late_count=100, silent_count=100)
@@ -1200,3 +1356,27 @@
         runner.close()
         answer = await waiting
     assert answer.status == 502
+
+
+# Guards against an answer of a silent runner that is held back while the call waits for
+# the next one.
+async def test_a_call_is_answered_by_the_runner_that_answers_first():
+    late = make_app_runner("app-1")
+    late.mode, late.pause_s = "pause", 0.9
+    hanging = [FakeRunner(f"app-{n}", "app", zone="qc-a") for n in (2, 3)]
+    for runner in hanging:
+        runner.mode = "hang"
+    routes = [
+        make_route(
+            "status", "safe", "app", MaxAttempts=3, TargetLatencyMs=1000, TimeoutMs=8000
+        )
+    ]
+    configuration = make_configuration(routes=routes)
+    async with running_scene(late, *hanging, configuration=configuration) as scene:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await scene.send_request(
+            "/status/", method="GET", body=b"", X_Lacewinglug_Deadline_Ms="8000"
+        )
+        assert (answer.status, answer.body) == (200, b"done")
+        assert loop.time() - started_s < late.pause_s + 0.3
