Use all that was read of a silent engine while the next one had its stream

Callers would have waited until their timeout (504 after 6 s instead of an answer after 2.2 s) if both engines had turned a request away in the overlap, would have lost the rest of a stream that came in the turn in which the next engine rejected it, or got a stream that looks complete after the first event, since an unframed response ends with its connection.

Cause: what is read ahead in the overlap was taken into account only if it was progress. The host then waited for input that had been read already. An attempt with unused events, or whose end was read, is ready at once now; the end of an unframed response takes nothing over.

--- a/lacewinglug/host/context.py
+++ b/lacewinglug/host/context.py
@@ -302,6 +302,7 @@
     :param entry: the runner.
     :param first_event_s: monotonic time of the first event of a stream, None before it.
     :param events: events that were read and not taken yet.
+    :param is_settled: whether the end or failure of the response was read ahead.
     """
 
     def __init__(
@@ -321,6 +322,7 @@
         self.splitter = EventSplitter()
         self.first_event_s: float | None = None
         self.events: list[Event] = []
+        self.is_settled = False
         self._has_ended = False
 
     async def connect(self) -> None:
@@ -405,7 +407,12 @@
             return await self.read_head()
 
     async def wait_for_input(self) -> None:
-        """Wait until more of the response has arrived, or the connection has ended."""
+        """Wait until more of the response has arrived, or the connection has ended.
+
+        Returns at once if that was read ahead.
+        """
+        if self.events or self.is_settled:
+            return
         assert self._connection is not None
         await self._connection.wait_for_input()
 
--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -907,20 +907,33 @@
 async def _wait_for_progress(attempt: Attempt, last_event_id: int | None) -> bool:
     """Read ahead until the engine of an attempt makes progress.
 
-    :returns: False if its response ends otherwise.
+    :returns: False if its response ends otherwise; the attempt is settled then.
     """
     try:
-        head = await attempt.read_head()
-        if head.status != _OK or _judge_head(head) is not Verdict.SUCCESS:
-            return False
-        events: Sequence[Event] | None = attempt.events
-        while events is not None:
-            if _shows_progress(_undelivered(events, last_event_id), last_event_id):
-                return True
-            events = await attempt.read_events_ahead()
-        return attempt.first_event_s is not None and not attempt.splitter.remainder
+        progresses = await _read_until_progress(attempt, last_event_id)
     except (UpstreamError, EventTooLongError):
+        progresses = False
+    attempt.is_settled = not progresses
+    return progresses
+
+
+async def _read_until_progress(attempt: Attempt, last_event_id: int | None) -> bool:
+    """Read ahead as :func:`_wait_for_progress`.
+
+    :raises UpstreamError: the response is lost or cut short.
+    :raises EventTooLongError: an event exceeds the size limit.
+    """
+    head = await attempt.read_head()
+    if head.status != _OK or _judge_head(head) is not Verdict.SUCCESS:
         return False
+    events: Sequence[Event] | None = attempt.events
+    while events is not None:
+        if _shows_progress(_undelivered(events, last_event_id), last_event_id):
+            return True
+        events = await attempt.read_events_ahead()
+    # The end of a connection may also cut the stream short; the next engine goes on.
+    whole = not (attempt.splitter.remainder or head.ends_with_connection)
+    return whole and attempt.first_event_s is not None
 
 
 def _shows_progress(events: Sequence[Event], last_event_id: int | None) -> bool:
