Hold the limit on engines for one that comes back

Engines would have run a stream once more than the route's MaxAttempts: one that had rejected it and left was asked again after another had run it instead.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -385,16 +385,16 @@
             or self.state.find_quarantined(context) is not None
         ):
             return []
-        ready = {
+        allowed = {
             entry.instance
             for entry in self.state.fleet.ready(context.service.name)
             if entry.stage is not Stage.PREFILL
         }
-        earlier = [{item} for item in progress.earlier_engines if item in ready]
-        if earlier or len(progress.engines_run) >= context.route.max_attempts:
-            return earlier
-        others = ready - progress.engines_run
-        return [others] if others else []
+        if len(progress.engines_run) >= context.route.max_attempts:
+            allowed &= progress.engines_run
+        earlier = [{item} for item in progress.earlier_engines if item in allowed]
+        others = allowed - progress.engines_run
+        return [others] if others and not earlier else earlier
 
     def _trace_result(
         self,
