Let another engine take a stream while one that rejected it asks for a pause

Callers saw a resumable stream cut at its timeout with another engine ready: the engine that fell silent had left, and the one that rejected the stream had asked for a pause of many seconds, but counted as one to return to.

Another engine takes the stream, within the limit, if none of the earlier ones takes requests now. test_a_stream_goes_on_elsewhere_if_the_engine_that_rejected_it_pauses failed in each of two runs and passes.

--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -385,16 +385,22 @@
             or self.state.find_quarantined(context) is not None
         ):
             return []
-        allowed = {
-            entry.instance
-            for entry in self.state.fleet.ready(context.service.name)
-            if entry.stage is not Stage.PREFILL
-        }
+        service, now_s = context.service.name, self.state.now_s()
+        ready, accepting = (
+            {entry.instance for entry in entries if entry.stage is not Stage.PREFILL}
+            for entries in (
+                self.state.fleet.ready(service),
+                self.state.notices.accepting(service, now_s=now_s),
+            )
+        )
+        allowed = ready
         if len(progress.engines_run) >= context.route.max_attempts:
-            allowed &= progress.engines_run
-        earlier = [{item} for item in progress.earlier_engines if item in allowed]
-        others = allowed - progress.engines_run
-        return [others] if others and not earlier else earlier
+            allowed = ready & progress.engines_run
+        earlier = [item for item in progress.earlier_engines if item in allowed]
+        others = (accepting & allowed) - progress.engines_run
+        if others and not accepting.intersection(earlier):
+            return [others]
+        return [{item} for item in earlier]
 
     def _trace_result(
         self,
