Read a key's shard before the parted session, and say what both answers are

An entry reads the shards that it claims every 2 s; the session parted the hosts as soon as they served, in most runs before the first such read. If a read came first, the entry knew the earlier uses and answered not_run, as the tests of keyed calls ask for in an outage of the log.

Now a call under another key of the shard is answered before the parting, so that the shard is read, and the session shows not_run.

--- a/tests/golden/test_parted_session.py
+++ b/tests/golden/test_parted_session.py
@@ -1,6 +1,7 @@
 """The operators' page on a parted region, run as written."""
 
 import asyncio
+import itertools
 
 import aiohttp
 import msgspec
@@ -11,6 +12,8 @@
 from lacewinglug.caller import CallerClient
 from lacewinglug.entry.app import StatusReply
 from lacewinglug.requests.answers import PromptBody
+from lacewinglug.requests.intents import shard_of_key
+from lacewinglug.requests.keys import supplied_key_id
 from lacewinglug.standin.relay import PathState, TcpRelay
 from tests.golden.test_operations_session import HOSTS, RUNNERS, Operator
 
@@ -76,16 +79,29 @@
             await asyncio.sleep(0.1)
         self.operator.transcript.note(f"{host} serves with", f"revision {revision}")
 
+    def caller(self, host, session):
+        return CallerClient(
+            session=session,
+            entry_url=self.deployment.entry_url(host),
+            organisation="volt-trottoir",
+            region=self.deployment.fleet.hosts[host].availability_zone[:-2],
+        )
+
+    async def use_shard(self, host):
+        """Run a call at a host whose key shares the shard of the host's own key."""
+        shard = shard_of(own_key(host))
+        keys = (f"earlier-key-{number}" for number in itertools.count())
+        key = next(key for key in keys if shard_of(key) == shard)
+        async with aiohttp.ClientSession() as session:
+            caller = self.caller(host, session)
+            answer = await caller.send_call("locker-app", "unlock", "bay 6", key=key)
+        assert answer.unwrap().result == "done /unlock bay 6"
+
     async def serve_callers(self, host):
         """Send a prompt, a call under a minted key and one under an own key."""
         note = self.operator.transcript.note
         async with aiohttp.ClientSession() as session:
-            caller = CallerClient(
-                session=session,
-                entry_url=self.deployment.entry_url(host),
-                organisation="volt-trottoir",
-                region=self.deployment.fleet.hosts[host].availability_zone[:-2],
-            )
+            caller = self.caller(host, session)
             body = PromptBody(prompt="which bay is free", max_tokens=5, kind="kiosk")
             texts = [text async for text in caller.send_prompt("assistant", body)]
             note(f"prompt at {host}", "".join(texts))
@@ -93,7 +109,7 @@
             answer = await caller.send_call("locker-app", "unlock", "bay 7", key=key)
             note(f"unlock at {host}, minted key", answer.unwrap().result)
             answer = await caller.send_call(
-                "locker-app", "unlock", "bay 8", key=f"own-key-of-{host}"
+                "locker-app", "unlock", "bay 8", key=own_key(host)
             )
             match answer:
                 case Success(reply):
@@ -103,6 +119,17 @@
             note(f"unlock at {host}, own key", told)
 
 
+def own_key(host):
+    return f"own-key-of-{host}"
+
+
+def shard_of(key):
+    key_id = supplied_key_id(
+        organisation="volt-trottoir", service="locker-app", key=key
+    )
+    return shard_of_key(key_id)
+
+
 @pytest.fixture
 async def parted(tmp_path):
     parted = PartedDeployment(tmp_path)
@@ -120,6 +147,8 @@
     parted, snapshot
 ):
     async with asyncio.timeout(PATIENCE_S):
+        # Earlier uses of keys are known on the parted side only in shards it has read.
+        await parted.use_shard(PARTED)
         parted.set_paths(PathState.SILENT)
         parted.operator.edit(
             "models.toml", "weight_bytes = 16000000000", "weight_bytes = 16000000001"
--- a/tests/requests/test_keyed_calls.py
+++ b/tests/requests/test_keyed_calls.py
@@ -267,6 +267,13 @@
     return await fleet.send_call("entry-0", "order-1", b"a")
 
 
+async def use_supplied_key_of_unread_shard_during_log_outage(fleet):
+    fleet.log.is_down = True
+    for entry in fleet.entries.values():
+        entry.keyed.claims.mark_stale()
+    return await fleet.send_call("entry-0", "order-1", b"a")
+
+
 async def use_supplied_key_at_key_limit(fleet):
     for entry in fleet.entries.values():
         entry.keyed.claims.max_keys = 0
@@ -285,6 +292,11 @@
         (use_expired_uuid7_key, (504, ""), 0),
         (use_malformed_key, (400, "new_key"), 0),
         (use_supplied_key_during_log_outage, (503, "same_key"), 0),
+        (
+            use_supplied_key_of_unread_shard_during_log_outage,
+            (504, "same_key"),
+            0,
+        ),
         (use_supplied_key_at_key_limit, (503, "same_key"), 0),
     ],
 )
