Tell the stalls of the event loop with each request that a play loses

Each lost request now names the longest stall since it was sent and the sum of all. No check changes, and the entries stay listed.

Whether such a stall was there when the test failed is not known.

--- a/tests/host/change_play.py
+++ b/tests/host/change_play.py
@@ -35,6 +35,8 @@
 
 PLAY_S = 5.0
 """Time for which requests are sent."""
+TICK_S = 0.01
+"""Time between two looks at how late the event loop is."""
 CLIENTS = 40
 """Connections, each with one request at a time."""
 CHANGE_INTERVAL_S = (0.02, 0.4)
@@ -164,6 +166,7 @@
     unread: int = 0
     versions: int = 1
     metrics: str = ""
+    _stalls: list[tuple[float, float]] = field(default_factory=list)
     _limits: dict = field(default_factory=lambda: LIMITS)
     _broken: set = field(default_factory=set)
 
@@ -197,7 +200,10 @@
 
     async def _play(self, scene):
         end_s = asyncio.get_running_loop().time() + PLAY_S
-        troubles = [asyncio.create_task(self._change(scene))]
+        troubles = [
+            asyncio.create_task(self._change(scene)),
+            asyncio.create_task(self._watch_stalls()),
+        ]
         if self.silences:
             troubles.append(asyncio.create_task(self._silence(scene)))
         await asyncio.gather(*(self._send(scene, end_s) for _ in range(CLIENTS)))
@@ -206,6 +212,20 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await trouble
 
+    async def _watch_stalls(self):
+        """Keep when and for how long the event loop of host and runners stood still."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + TICK_S
+            await asyncio.sleep(TICK_S)
+            if loop.time() - due_s > TICK_S:
+                self._stalls.append((loop.time(), loop.time() - due_s))
+
+    def _stalled_s(self, since_s):
+        """Return the longest stall and the sum of all that ended since a time."""
+        stalls = [length_s for end_s, length_s in self._stalls if end_s > since_s]
+        return max(stalls, default=0.0), sum(stalls)
+
     async def _silence(self, scene):
         """Let about half of the runners fall silent together, and go on."""
         loop = asyncio.get_running_loop()
@@ -322,8 +342,10 @@
             if request_id not in self._outcomes and response is None:
                 self.unread += 1
                 continue
+            longest_s, all_s = self._stalled_s(sent_s)
             self.lost.append(
-                f"{path} {request_id} {self._outcomes.get(request_id)} after {took}"
+                f"{path} {request_id} {self._outcomes.get(request_id)} after {took}, "
+                f"longest stall {longest_s:.2f} s of {all_s:.2f} s"
             )
 
 
