--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -385,16 +385,22 @@
             or self.state.find_quarantined(context) is not None
         ):
             return []
-        ready = {
-            entry.instance
-            for entry in self.state.fleet.ready(context.service.name)
-            if entry.stage is not Stage.PREFILL
-        }
-        earlier = [{item} for item in progress.earlier_engines if item in ready]
-        if earlier or len(progress.engines_run) >= context.route.max_attempts:
-            return earlier
-        others = ready - progress.engines_run
-        return [others] if others else []
+        service, now_s = context.service.name, self.state.now_s()
+        ready, accepting = (
+            {entry.instance for entry in entries if entry.stage is not Stage.PREFILL}
+            for entries in (
+                self.state.fleet.ready(service),
+                self.state.notices.accepting(service, now_s=now_s),
+            )
+        )
+        allowed = ready
+        if len(progress.engines_run) >= context.route.max_attempts:
+            allowed = ready & progress.engines_run
+        earlier = [item for item in progress.earlier_engines if item in allowed]
+        others = (accepting & allowed) - progress.engines_run
+        if others and not accepting.intersection(earlier):
+            return [others]
+        return [{item} for item in earlier]
 
     def _trace_result(
         self,
@@ -907,20 +913,33 @@
 async def _wait_for_progress(attempt: Attempt, last_event_id: int | None) -> bool:
     """Read ahead until the engine of an attempt makes progress.
 
-    :returns: False if its response ends otherwise.
+    :returns: False if its response ends otherwise; the attempt is settled then.
     """
     try:
-        head = await attempt.read_head()
-        if head.status != _OK or _judge_head(head) is not Verdict.SUCCESS:
-            return False
-        events: Sequence[Event] | None = attempt.events
-        while events is not None:
-            if _shows_progress(_undelivered(events, last_event_id), last_event_id):
-                return True
-            events = await attempt.read_events_ahead()
-        return attempt.first_event_s is not None and not attempt.splitter.remainder
+        progresses = await _read_until_progress(attempt, last_event_id)
     except (UpstreamError, EventTooLongError):
+        progresses = False
+    attempt.is_settled = not progresses
+    return progresses
+
+
+async def _read_until_progress(attempt: Attempt, last_event_id: int | None) -> bool:
+    """Read ahead as :func:`_wait_for_progress`.
+
+    :raises UpstreamError: the response is lost or cut short.
+    :raises EventTooLongError: an event exceeds the size limit.
+    """
+    head = await attempt.read_head()
+    if head.status != _OK or _judge_head(head) is not Verdict.SUCCESS:
         return False
+    events: Sequence[Event] | None = attempt.events
+    while events is not None:
+        if _shows_progress(_undelivered(events, last_event_id), last_event_id):
+            return True
+        events = await attempt.read_events_ahead()
+    # The end of a connection may also cut the stream short; the next engine goes on.
+    whole = not (attempt.splitter.remainder or head.ends_with_connection)
+    return whole and attempt.first_event_s is not None
 
 
 def _shows_progress(events: Sequence[Event], last_event_id: int | None) -> bool:
