Add a failing test for a stream that counts as an answer twice

A stream that its engine goes on with after a silence is read by a second call of the relay, which does not know that its answer was recorded.

--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lacewinglug.host.budget import USABLE_SLACK_FRACTION
+from lacewinglug.host.crashes import ANSWER_START_S
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import (
     GAP_TIMEOUT_FACTOR,
@@ -632,6 +633,36 @@
     assert [step["runner"] for step in went_on] == [silent.instance]
 
 
+class TwoEventsThenSilence(FakeRunner):
+    """Falls silent after its second event, and goes on in the overlap."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        for number, wait_s in enumerate(
+            (2 * ANSWER_START_S, SOUND_SILENCE_S + MAX_OVERLAP_S / 2, 0.0), start=1
+        ):
+            await exchange.write(b"id: %d\ndata: w%d\n\n" % (number, number))
+            await asyncio.sleep(wait_s)
+        await exchange.finish()
+
+
+# Guards against a stream that counts as an answer once more when its engine goes on,
+# which says nothing about engines that begin one now.
+async def test_a_stream_that_goes_on_after_a_silence_counts_as_one_answer():
+    silent = TwoEventsThenSilence("runner-1", "llm", stage="decode")
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    async with running_long_stream_scene(silent, hanging) as scene:
+        answers = []
+        scene.process.state.quarantine.record_answer = lambda parts, *, now_s: (
+            answers.append(now_s)
+        )
+        answer = await send_long_stream(scene)
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(hanging.received) == 1
+        assert len(answers) == 1
+
+
 # Guards against open attempts after the client has left while two engines were read.
 async def test_both_engines_are_given_up_if_the_client_leaves_during_the_overlap():
     silent = FakeRunner("runner-1", "llm", stage="decode")
