--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lacewinglug.host.budget import USABLE_SLACK_FRACTION
+from lacewinglug.host.crashes import ANSWER_START_S
 from lacewinglug.host.prefills import MIN_FIRST_EVENT_TIMEOUT_S
 from lacewinglug.host.streams import (
     GAP_TIMEOUT_FACTOR,
@@ -632,6 +633,36 @@
     assert [step["runner"] for step in went_on] == [silent.instance]
 
 
+class TwoEventsThenSilence(FakeRunner):
+    """Falls silent after its second event, and goes on in the overlap."""
+
+    async def stream(self, request, exchange):
+        await exchange.start_response(200, self.response_headers(request))
+        for number, wait_s in enumerate(
+            (2 * ANSWER_START_S, SOUND_SILENCE_S + MAX_OVERLAP_S / 2, 0.0), start=1
+        ):
+            await exchange.write(b"id: %d\ndata: w%d\n\n" % (number, number))
+            await asyncio.sleep(wait_s)
+        await exchange.finish()
+
+
+# Guards against a stream that counts as an answer once more when its engine goes on,
+# which says nothing about engines that begin one now.
+async def test_a_stream_that_goes_on_after_a_silence_counts_as_one_answer():
+    silent = TwoEventsThenSilence("runner-1", "llm", stage="decode")
+    hanging = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    hanging.mode = "hang"
+    async with running_long_stream_scene(silent, hanging) as scene:
+        answers = []
+        scene.process.state.quarantine.record_answer = lambda parts, *, now_s: (
+            answers.append(now_s)
+        )
+        answer = await send_long_stream(scene)
+        assert (answer.body, answer.complete) == (STREAM, True)
+        assert len(hanging.received) == 1
+        assert len(answers) == 1
+
+
 # Guards against open attempts after the client has left while two engines were read.
 async def test_both_engines_are_given_up_if_the_client_leaves_during_the_overlap():
     silent = FakeRunner("runner-1", "llm", stage="decode")
@@ -734,7 +765,12 @@
 
 
 class UnframedCut(FakeRunner):
-    """Sends a stream without framing, and ends after the first event and a silence."""
+    """Sends a stream without framing, and ends soon after another engine has it.
+
+    :param other: that engine.
+    """
+
+    other = None
 
     async def run(self, request, exchange):
         self.received.append(request)
@@ -742,7 +778,9 @@
         lines += [b"%b: %b" % field for field in self.response_headers(request)]
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         exchange._transport.write(head + STREAM[: STREAM.index(b"id: 2")])
-        await asyncio.sleep(SOUND_SILENCE_S + MAX_OVERLAP_S / 2)
+        while not self.other.received:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(MAX_OVERLAP_S / 4)
         exchange.close()
 
 
@@ -750,7 +788,7 @@
 # the next one has it and goes on.
 async def test_the_end_of_a_silent_engine_without_framing_does_not_end_a_stream():
     silent = UnframedCut("runner-1", "llm", stage="decode")
-    other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
+    silent.other = other = FakeRunner("runner-2", "llm", stage="decode", zone="qc-a")
     other.mode, other.pause_s = "pause_first", MAX_OVERLAP_S * 3 / 4
     async with running_long_stream_scene(silent, other) as scene:
         answer = await send_long_stream(scene)
