Measure how long a client of the soak does not read

The judge took the pause that was drawn. On a busy machine it lasts longer, and a request that crossed the close of its connection may then count as cut.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -128,10 +128,10 @@
                 await self._send(writer, kind, target, body, headers)
                 all_sent_s = self.fleet.now_s()
                 if rng.random() < self.habits.slow_share:
-                    paused_s = rng.uniform(*READ_PAUSE_S)
                     writer.transport.pause_reading()
-                    await asyncio.sleep(paused_s)
+                    await asyncio.sleep(rng.uniform(*READ_PAUSE_S))
                     writer.transport.resume_reading()
+                    paused_s = self.fleet.now_s() - all_sent_s
                 answer = await read_response(reader)
         sent = Sent(
             request_id=request_id,
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -114,7 +114,7 @@
             item.sent_s,
             f"{excuse.value if excuse else 'CUT'}: {item.request_id} {item.target} at"
             f" {item.host}, status {item.status}, {len(item.answer)} bytes after"
-            f" {item.ended_s - item.sent_s:.2f} s, run by"
-            f" {[run.instance for run in runs]}",
+            f" {item.ended_s - item.sent_s:.2f} s, {item.paused_s:.2f} s of them not"
+            f" reading, run by {[run.instance for run in runs]}",
         )
     path.write_text("".join(sorted(lines)))
