Let callers of the call tests drop connections that were quiet for long

Cause: the test. Its callers kept a quiet connection for 15 s, aiohttp's default, while an entry closes it after 5 s; a test process that stood still for longer sent its next call on a closed one. Whether that was the cause when the test failed is not known: it kept no reason. Now the callers use the pool of the caller's library, which keeps connections for 2 s, and give up after 120 s instead of 20 s, as no bound of a call is tested by that. What is asserted is the same.

--- a/tests/entry/test_calls_under_failure.py
+++ b/tests/entry/test_calls_under_failure.py
@@ -8,10 +8,13 @@
 import aiohttp
 import pytest
 
+from lacewinglug.connections import make_connector
 from lacewinglug.standin.relay import TcpRelay
 from tests.entry.call_stage import HOSTS, RUNNER, SERVICE, CallScenario, deploy
 
 pytestmark = pytest.mark.processes
+CALL_TIMEOUT_S = 120.0
+"""Time after which a caller gives up, longer than any timeout of an entry."""
 
 
 @pytest.fixture(scope="module")
@@ -27,8 +30,10 @@
     deployment, service_port, relay_port = deployed
     relay = TcpRelay(port=relay_port, target_port=service_port)
     await relay.start()
-    timeout = aiohttp.ClientTimeout(total=20.0)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    async with aiohttp.ClientSession(
+        connector=make_connector(), timeout=timeout
+    ) as session:
         scenario = CallScenario(
             deployment=deployment,
             session=session,
