--- a/lacewinglug/host/streams.py
+++ b/lacewinglug/host/streams.py
@@ -375,7 +375,11 @@
     def _engines_to_return_to(
         self, context: RequestContext, progress: _StreamProgress
     ) -> list[set[str]]:
-        """Return sets of engines to choose from, in order of preference."""
+        """Return sets of engines to choose from, in order of preference.
+
+        An engine that has not had the stream stands for the earlier ones while none of
+        these accepts requests.
+        """
         if (
             not (progress.head_sent and progress.may_resume)
             or not progress.gave_up_engine
--- a/tests/host/test_relay.py
+++ b/tests/host/test_relay.py
@@ -902,6 +902,12 @@
     return running_scene(*runners, configuration=make_configuration(routes=routes))
 
 
+async def add_runner(scene, runner):
+    """Start a runner beside those of a scene, and register it."""
+    scene.runners.append(await runner.open())
+    await scene.store.put("keyed.servers", runner.instance, runner.entry())
+
+
 async def send_long_stream(scene):
     return await scene.send_request(
         "/ask/1", X_Lacewinglug_Deadline_Ms=str(round(LONG_TIMEOUT_S * 1000))
@@ -988,8 +994,7 @@
         while not late.received:
             await asyncio.sleep(0.01)
         ready = FakeRunner("runner-3", "llm", stage="decode", zone="qc-a")
-        scene.runners.append(await ready.open())
-        await scene.store.put("keyed.servers", ready.instance, ready.entry())
+        await add_runner(scene, ready)
         for runner in (silent, late):
             if listed:
                 entry = runner.entry("draining")
@@ -1014,8 +1019,7 @@
         ]
         for other in others:
             other.mode = "cut"
-            scene.runners.append(await other.open())
-            await scene.store.put("keyed.servers", other.instance, other.entry())
+            await add_runner(scene, other)
         for runner in (silent, late):
             await scene.store.drop("keyed.servers", runner.instance)
         answer = await request
@@ -1055,8 +1059,7 @@
         while not late.received:
             await asyncio.sleep(0.01)
         other = EventThenCut("runner-3", "llm", stage="decode", zone="qc-a")
-        scene.runners.append(await other.open())
-        await scene.store.put("keyed.servers", other.instance, other.entry())
+        await add_runner(scene, other)
         for runner in (silent, late):
             await scene.store.drop("keyed.servers", runner.instance)
         while not other.received:
@@ -1076,8 +1079,7 @@
         while not late.received:
             await asyncio.sleep(0.01)
         ready = FakeRunner("runner-3", "llm", stage="decode", zone="qc-a")
-        scene.runners.append(await ready.open())
-        await scene.store.put("keyed.servers", ready.instance, ready.entry())
+        await add_runner(scene, ready)
         await scene.store.drop("keyed.servers", silent.instance)
         answer = await request
         assert (answer.body, answer.complete) == (STREAM, True)
