--- a/review/play2.py
+++ b/review/play2.py
@@ -295,9 +295,16 @@
         return 200, json.dumps({"Offset": first, "End": len(records)}).encode()
 
 
+QUEUE_PER_SLOT = 4
+"""Requests that a runner queues for each of its slots; as ``locker-app``."""
+
+
 class Runner(Server):
     """Runner of a plain service, or engine of a model service.
 
+    It runs as many requests as it has slots, queues some more until their deadline, and
+    rejects the others.
+
     It registers itself in the store while ``registered`` is set.
 
     :param serve: coroutine that answers a request that it accepts; it is given the
@@ -314,6 +321,8 @@
         self.serve = serve
         self.stage = stage
         self.slots = slots
+        self.free_slots = asyncio.Semaphore(slots)
+        self.waiting = 0
         self.instance = f"i-{next(self.numbers):04d}"
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -367,7 +376,10 @@
         return [
             ("X-Lacewinglug-Request-Id", message.get("X-Lacewinglug-Request-Id")),
             ("X-Lacewinglug-Response-Signature", f"{self.instance}.600"),
-            ("X-Lacewinglug-Server-Load", f"{self.running},0,{self.slots},100"),
+            (
+                "X-Lacewinglug-Server-Load",
+                f"{self.running},{self.waiting},{self.slots},100",
+            ),
             ("Keep-Alive", "timeout=60"),
         ]
 
@@ -397,11 +409,32 @@
             writer.write(encode_response(200, self.signed(message), data))
             await writer.drain()
             return True
+        if not await self._take_slot(message):
+            headers = [*self.signed(message), ("X-Lacewinglug-Not-Executed", "1")]
+            writer.write(encode_response(503, headers))
+            await writer.drain()
+            return True
         self.running += 1
         try:
             return await self.serve(self, message, writer)
         finally:
             self.running -= 1
+            self.free_slots.release()
+
+    async def _take_slot(self, message):
+        """Wait for a slot; return False if the queue is full or the deadline passes."""
+        if self.free_slots.locked() and self.waiting >= QUEUE_PER_SLOT * self.slots:
+            return False
+        deadline_ms = float(message.get("X-Lacewinglug-Deadline-Ms") or 5000)
+        self.waiting += 1
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                await self.free_slots.acquire()
+        except TimeoutError:
+            return False
+        finally:
+            self.waiting -= 1
+        return True
 
     def _control(self, target, message):
         if target == "/-/report":
