--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(BIN)/python examples/demo.py
 
 test: env
-	$(BIN)/python -m pytest tests --numprocesses $(TEST_WORKERS) --dist loadfile
+	$(BIN)/python -m pytest tests -m "not crowd" --numprocesses $(TEST_WORKERS) --dist loadfile
+	$(BIN)/python -m pytest tests/memory -m crowd
 
 lint: env
 	$(BIN)/ruff format --check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,7 +22,8 @@
         for line in block.splitlines():
             name, _, value = line.partition(": ")
             if name == "test":
-                entries[value.strip()] = block.strip()
+                # An entry of one line goes on behind the name.
+                entries[value.partition("; ")[0].strip()] = block.strip()
     return entries
 
 
--- a/tests/memory/host_process.py
+++ b/tests/memory/host_process.py
@@ -21,6 +21,12 @@
 WATCH_INTERVAL_S = 0.02
 START_TIMEOUT_S = 60.0
 ROOT = Path(__file__).parent.parent.parent
+ORDINARY_PATHS = {
+    "Ready": "/-/readyz",
+    "Directory": "/-/resolve?Name=a.example&Region=mtl&Zone=mtl-a",
+    "Metrics": "/metrics",
+}
+"""Paths of requests to the listeners that are not for clients' calls."""
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _HEX_PORT = 16
 
@@ -44,19 +50,44 @@
 
     :param scene: its surroundings.
     :param process: the process.
+    :param metrics_port: port of its metrics.
     :param peak: highest values so far.
     """
 
     scene: HostTestbed
     process: asyncio.subprocess.Process
+    metrics_port: int
     peak: Peak = field(default_factory=Peak)
 
     @property
     def client_address(self):
         """Host and port to which clients connect."""
-        host, _, port = self.scene.listen_address("Frontend").rpartition(":")
+        return self.address_of("Frontend")
+
+    @property
+    def listen_addresses(self):
+        """Host and port of all listeners."""
+        names = (*self.scene.settings["ListenAddrs"], "Metrics")
+        return [self.address_of(name) for name in names]
+
+    def address_of(self, listener):
+        """Return host and port of a listener by its name, ``Metrics`` for metrics."""
+        if listener == "Metrics":
+            return self.scene.ip, self.metrics_port
+        host, _, port = self.scene.listen_address(listener).rpartition(":")
         return host, int(port)
 
+    async def check_all_listeners(self):
+        """Check that an ordinary request is answered at each listener."""
+        assert (await self.send_ordinary_request()).status == 200
+        for listener, path in ORDINARY_PATHS.items():
+            assert (await self.send_to(listener, path, "GET")).status == 200
+
+    async def send_to(self, listener, path, method):
+        """Send a request without a body to a listener and return the response."""
+        host, port = self.address_of(listener)
+        return await self.scene.send_request_to(f"{host}:{port}", path, method)
+
     @property
     def lives(self):
         """Whether the process has not ended."""
@@ -73,7 +104,8 @@
         root = Path("/proc") / str(self.process.pid)
         with contextlib.suppress(OSError, IndexError):
             pages = int((root / "statm").read_text().split()[1])
-            memory_bytes = pages * _PAGE_BYTES + count_unread_bytes(self.client_address)
+            memory_bytes = pages * _PAGE_BYTES
+            memory_bytes += count_unread_bytes(self.listen_addresses)
             self.peak.memory_bytes = max(self.peak.memory_bytes, memory_bytes)
             descriptors = len(os.listdir(root / "fd"))
             self.peak.descriptors = max(self.peak.descriptors, descriptors)
@@ -97,15 +129,16 @@
             writer.close()
 
 
-def count_unread_bytes(address):
-    """Return how much an address's open connections have received and not read."""
-    ip, port = address
-    packed = int.from_bytes(socket.inet_aton(ip), sys.byteorder)
-    local = f"{packed:08X}:{port:04X}"
+def count_unread_bytes(addresses):
+    """Return how much the addresses' open connections have received and not read."""
+    local = {
+        f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{port:04X}"
+        for ip, port in addresses
+    }
     unread = 0
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[1] == local and fields[3] != "0A":  # 0A: the listening socket
+        if fields[1] in local and fields[3] != "0A":  # 0A: the listening socket
             unread += int(fields[4].partition(":")[2], _HEX_PORT)
     return unread
 
@@ -134,7 +167,7 @@
             cwd=ROOT,
             env=os.environ | {"PYTHONPATH": str(ROOT)},
         )
-    host = RunningHost(scene=scene, process=process)
+    host = RunningHost(scene=scene, process=process, metrics_port=metrics_port)
     watch = asyncio.create_task(host.watch())
     try:
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/tests/memory/test_bounded_memory.py
+++ b/tests/memory/test_bounded_memory.py
@@ -1,7 +1,7 @@
 """Tests that no crowd of clients takes a host's memory or descriptors.
 
-All of them are in one file, so that the suite runs them one at a time. They check
-neither times nor how many of the crowd are served.
+The suite runs them one at a time, apart from all others. They check neither times nor
+how many of the crowd are served.
 """
 
 import pytest
@@ -18,7 +18,7 @@
 from tests.memory.host_process import running_host_process
 from tests.platform.standin import FakeRunner
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.crowd]
 
 BODY_BYTES = 4_194_304
 MEMORY_MB = 100
