Free what a client's connection held as soon as it has ended

The account of a connection referred to the connection, which refers to its account, and a cancelled task keeps its exception, whose traceback has the frames with the request. Both cycles, with parser, buffers and body, waited for the garbage collector, which counts objects and not bytes. A count of live objects without the collector showed every connection of a wave, and its referrers are these two. The account was closed with the connection, so the budget did not count what was left.

The budget now keeps the connection of each account, so that removing the account ends the reference. The exception is taken from the task when it ends. The account is closed when both connection and task have ended, and so counts what a slow handler still holds.

--- a/lacewinglug/memory/budget.py
+++ b/lacewinglug/memory/budget.py
@@ -80,8 +80,10 @@
 class Account:
     """What one connection holds.
 
+    The budget knows the connection. The account does not refer to it, as the connection
+    refers to its account, and the cycle would keep in memory what a connection held.
+
     :param budget: the budget that it counts against.
-    :param holder: the connection.
     :param charged_bytes: what counts against the budget, in bytes: what is held or, if
         more, reserved.
     :param moved_bytes: total amount of data that the peer has sent or taken, in bytes.
@@ -96,14 +98,12 @@
         "_mark_s",
         "_reserved_bytes",
         "charged_bytes",
-        "holder",
         "is_slow",
         "moved_bytes",
     )
 
-    def __init__(self, budget: "MemoryBudget", holder: Holder) -> None:
+    def __init__(self, *, budget: "MemoryBudget") -> None:
         self._budget = budget
-        self.holder = holder
         self.charged_bytes = 0
         self.moved_bytes = 0
         self.is_slow = False
@@ -204,7 +204,7 @@
     reserved_bytes: int = 0
     is_scarce: bool = False
     scarce_bytes: int = field(init=False)
-    _accounts: set[Account] = field(default_factory=set)
+    _accounts: dict[Account, Holder] = field(default_factory=dict)
     _waiting: list[_Waiting] = field(default_factory=list)
     _paused: dict[Callable[[], None], None] = field(default_factory=dict)
     _calm_since_s: float | None = None
@@ -242,13 +242,13 @@
 
     def open_account(self, holder: Holder) -> Account:
         """Return the account of a new connection."""
-        account = Account(self, holder)
-        self._accounts.add(account)
+        account = Account(budget=self)
+        self._accounts[account] = holder
         return account
 
     def remove(self, account: Account) -> None:
         """Remove an account that holds nothing any more."""
-        self._accounts.discard(account)
+        self._accounts.pop(account, None)
 
     def try_reserve(self, account: Account, total_bytes: int) -> bool:
         """Reserve memory for a large message if there is room and no one waits.
@@ -326,8 +326,8 @@
         """Judge the progress of all connections, and evict slow ones for others."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        for account in list(self._accounts):
-            account.holder.measure()
+        for account, holder in list(self._accounts.items()):
+            holder.measure()
             account.mark_progress(now_s)
         if self._waiting:
             self._evict_slow_reservations()
@@ -373,11 +373,11 @@
         """
         candidates = [
             (account, reason)
-            for account in self._accounts
+            for account, holder in self._accounts.items()
             if (account.is_slow or not only_slow)
             and (account.is_slow or account.charged_bytes > LARGE_MESSAGE_BYTES)
             and account.charged_bytes > CONNECTION_BYTES
-            and (reason := account.holder.eviction_reason()) is not None
+            and (reason := holder.eviction_reason()) is not None
         ]
         candidates.sort(
             key=lambda item: (item[0].is_slow, item[0].charged_bytes), reverse=True
@@ -396,4 +396,4 @@
                 waiting.granted.set_exception(OverBudgetError("evicted"))
         account.set_reserved(0)
         account.hold(CONNECTION_BYTES)
-        account.holder.evict(reason)
+        self._accounts[account].evict(reason)
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -244,6 +244,7 @@
         self._unanswered: Request | None = None
         self._method = b""
         self._end_reason: EndReason | None = None
+        self._is_lost = False
         self._buffered_bytes = 0
         self._reading_paused = False
         self._discarding = False
@@ -315,6 +316,12 @@
         """
         self._registry.tasks.discard(task)
         self._task = None
+        # A cancelled task keeps its exception, whose traceback has those frames, until
+        # somebody asks for it.
+        with contextlib.suppress(asyncio.CancelledError):
+            task.exception()
+        if self._is_lost:
+            self._release()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next data."""
@@ -359,7 +366,6 @@
         """Unregister the connection, report its end and cancel its handler."""
         self._registry.connections.discard(self)
         self._uncount()
-        self._account.close()
         self._note_end(
             EndReason.CLIENT_RESET
             if isinstance(exc, ConnectionError)
@@ -368,9 +374,18 @@
         assert self._end_reason is not None
         self._registry.on_end(self._end_reason, self._unanswered)
         self._writable.set()
-        if self._task is not None:
+        self._is_lost = True
+        if self._task is None:
+            self._release()
+        else:
             self._task.cancel()
 
+    def _release(self) -> None:
+        """Let go of what was received, once the connection and its task have ended."""
+        self._account.close()
+        self._decoder = None
+        self._unanswered = None
+
     def pause_writing(self) -> None:
         """Suspend the handler while the send buffer is full."""
         self._writable.clear()
