Free a runner's connection as soon as it has ended

After a request of more than 16 KB, what a connection to a runner held (parser, unread and unsent data) stayed in memory until the garbage collector ran.

The watch of the delivery has a bound method of the connection, which keeps the watch. In a count of live objects after a wave of calls of 20 KB, all connections to runners that had ended were left, each referred to by that method.

The connection drops the watch when it is lost. A lost connection is not undelivered, as before. tests/wire/test_release.py has a test, which failed before and passes.

--- a/lacewinglug/wire/client.py
+++ b/lacewinglug/wire/client.py
@@ -147,6 +147,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss of the connection and wake the reader."""
         self._stop_delivery_watch()
+        # The watch refers to the connection; the cycle would keep its data in memory.
+        self._delivery_watch = None
         self._unsent = memoryview(b"")
         if self._account is not None:
             self._account.close()
@@ -231,8 +233,10 @@
         if state is not None:
             return state.is_awaited
         # A long request may only be waiting for room in the receive window.
-        return self._delivery_watch is None and bool(
-            count_unacknowledged_bytes(connection)
+        return (
+            not self._is_lost
+            and self._delivery_watch is None
+            and bool(count_unacknowledged_bytes(connection))
         )
 
     @property
--- a/tests/wire/test_release.py
+++ b/tests/wire/test_release.py
@@ -11,6 +11,10 @@
 import pytest
 
 from lacewinglug.memory.budget import MemoryBudget
+from lacewinglug.wire.client import open_connection
+from lacewinglug.wire.delivery import LONG_REQUEST_BYTES
+from lacewinglug.wire.messages import Response
+from lacewinglug.wire.server import ConnectionRegistry
 from tests.wire.test_server import Server
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\n"
@@ -73,3 +77,30 @@
         await wait_until(lambda: not server.registry.tasks)
         await wait_until(lambda: not server.registry.connections)
         assert found() is None
+
+
+async def test_an_upstream_connection_with_a_long_request_is_forgotten():
+    """Guards against a cycle through the watch of the delivery."""
+
+    async def respond(_request, exchange):
+        await exchange.respond(Response(status=200))
+
+    registry = ConnectionRegistry(handler=respond, limits=Server().registry.limits)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(registry.make_connection, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = await open_connection(f"127.0.0.1:{port}", timeout_s=60.0)
+    connection.send_request(
+        method=b"POST",
+        target=b"/a",
+        headers=((b"Host", b"a"),),
+        body=bytes(2 * LONG_REQUEST_BYTES),
+    )
+    await connection.read_response(max_body_bytes=1_000)
+    connection.abort()
+    found = weakref.ref(connection)
+    del connection
+    for _ in range(3):
+        await asyncio.sleep(0.01)
+    assert found() is None
+    server.close()
