Let others run between the requests that clients send ahead

While clients sent thousands of requests ahead, a host answered nobody else: in tests with 20 clients and 1,500 requests each, an ordinary request at any listener was answered after all 30,000 requests of the crowd (3,000 at the metrics), and the host went on with those of clients that had left.

A handler that responds without waiting never gives up its turn of the event loop, and the bound on a connection's turn began anew with each request. So a connection kept the event loop until its buffer of 128 KB was empty, one connection after another.

A request that was sent ahead now waits until the event loop has turned, one connection after another for all connections of a listener; a first request doesn't. A new connection may take the place of one that waits so.

--- a/lacewinglug/memory/turns.py
+++ b/lacewinglug/memory/turns.py
@@ -20,3 +20,20 @@
         """
         async with self._lock:
             await asyncio.sleep(took_s)
+
+
+class RequestTurns:
+    """Lets connections with requests that were sent ahead take turns.
+
+    Such requests are already there and often need no waiting, so their connection would
+    otherwise keep the event loop until it has handled all of them. Of all connections
+    together, one request is handled in a turn of the event loop.
+    """
+
+    def __init__(self) -> None:
+        self._lock = asyncio.Lock()
+
+    async def wait(self) -> None:
+        """Wait for the next turn, in the order of the calls."""
+        async with self._lock:
+            await asyncio.sleep(0)
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -20,7 +20,7 @@
     OverBudgetError,
 )
 from lacewinglug.memory.descriptors import ConnectionLimit
-from lacewinglug.memory.turns import FramingTurns
+from lacewinglug.memory.turns import FramingTurns, RequestTurns
 from lacewinglug.wire.chunks import ChunkDecoder, MalformedChunksError
 from lacewinglug.wire.messages import Headers, Request, Response, header_values
 from lacewinglug.wire.sockets import (
@@ -153,6 +153,7 @@
     :param budget: memory budget to which the connections charge what they hold.
     :param connection_limit: bound on the number of connections, None for none.
     :param framing_turns: shared by the connections with much framing work.
+    :param request_turns: shared by the connections with requests that were sent ahead.
     :param connections: open connections.
     :param tasks: tasks that serve them; they may outlive their connection briefly.
     """
@@ -166,6 +167,7 @@
     )
     connection_limit: ConnectionLimit | None = None
     framing_turns: FramingTurns = field(default_factory=FramingTurns)
+    request_turns: RequestTurns = field(default_factory=RequestTurns)
     connections: set["ServerConnection"] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -245,6 +247,7 @@
         self._method = b""
         self._end_reason: EndReason | None = None
         self._is_lost = False
+        self._awaits_turn = False
         self._buffered_bytes = 0
         self._reading_paused = False
         self._discarding = False
@@ -259,8 +262,9 @@
     def closing_order(self) -> tuple[int, float] | None:
         """Return the order in which connections are closed for others.
 
-        Those whose request was refused come first, then idle ones, then those whose
-        request is incomplete for a while, each time the oldest one first.
+        Those whose request was refused, or whose next request was sent ahead and waits
+        for its turn, come first, then idle ones, then those whose request is incomplete
+        for a while, each time the oldest one first.
 
         :returns: None if it may not be closed: a request is being handled, or has only
             begun to arrive.
@@ -268,7 +272,7 @@
         if self._transport is None or self._transport.is_closing():
             return None
         since_s = self._request_started_s
-        if self._discarding or self._evicted is not None:
+        if self._discarding or self._evicted is not None or self._awaits_turn:
             return (0, since_s)
         if self._unanswered is not None:
             return None
@@ -556,7 +560,8 @@
     async def _serve_requests(self) -> None:
         try:
             while await self._serve_request():
-                pass
+                if self._request_active:
+                    await self._wait_for_turn()
         except asyncio.CancelledError:
             raise
         except Exception:
@@ -565,6 +570,14 @@
         finally:
             self.close()
 
+    async def _wait_for_turn(self) -> None:
+        """Let others run before the next request, which has already begun to arrive."""
+        self._awaits_turn = True
+        try:
+            await self._registry.request_turns.wait()
+        finally:
+            self._awaits_turn = False
+
     async def _respond_to_error(self) -> None:
         """End the connection, with a response to the request if none has begun."""
         self._note_end(EndReason.INTERNAL_ERROR)
