Keep the readiness check and the metrics open beside a crowded directory

With 120 clients that were idle, or stopped short of the end of a request, at the readiness check, the directory or the metrics of a host with 256 descriptors, connections to the other two of these listeners, or to the same one, were reset.

The three listeners shared a bound on connections, and each looked for one to close only among its own. An incomplete request was kept for a second before it could be closed for another connection, so that a crowd could hold all places with new ones.

The readiness check and the metrics now have 16 connections each, as nobody but the platform and operators calls them; the directory keeps the rest of the share. On these listeners, whose requests are as small as a packet, an incomplete request may be closed at any age, the oldest first, and idle connections before it.

--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -33,6 +33,7 @@
 from lacewinglug.host.tenure import TenureManager
 from lacewinglug.host.watch import StoreWatcher
 from lacewinglug.memory.descriptors import ConnectionLimit
+from lacewinglug.memory.limits import MIN_CONNECTIONS
 from lacewinglug.platform.calls import (
     decode_resolve_query,
     encode_addresses,
@@ -42,7 +43,7 @@
 from lacewinglug.platform.store import StoreClient
 from lacewinglug.scaling.controller import create_controller
 from lacewinglug.wire.messages import Request, Response
-from lacewinglug.wire.server import ClientLimits, EndReason, Exchange
+from lacewinglug.wire.server import ClientLimits, EndReason, Exchange, Handler
 
 logger = logging.getLogger(__name__)
 
@@ -196,33 +197,44 @@
             budget=self.state.budget,
             connection_limit=self.state.client_limit,
         )
-        self._internal_limit = ConnectionLimit(
-            kind="internal", max_count=settings.machine.max_internal_connections
-        )
+        max_directory_connections = settings.machine.max_directory_connections
         self._internal_listeners = [
-            Listener(
-                name="readiness",
-                address=settings.ready_address,
-                handler=self._handle_readiness,
-                budget=self.state.budget,
-                connection_limit=self._internal_limit,
-            ),
-            Listener(
-                name="directory",
-                address=settings.directory_address,
-                handler=self._handle_directory,
-                budget=self.state.budget,
-                connection_limit=self._internal_limit,
-            ),
-            Listener(
-                name="metrics",
-                address=f"{settings.ip}:{self.metrics_port}",
-                handler=self._handle_metrics,
-                budget=self.state.budget,
-                connection_limit=self._internal_limit,
-            ),
+            self._make_internal_listener(name, address, handler, max_connections)
+            for name, address, handler, max_connections in (
+                (
+                    "readiness",
+                    settings.ready_address,
+                    self._handle_readiness,
+                    MIN_CONNECTIONS,
+                ),
+                (
+                    "directory",
+                    settings.directory_address,
+                    self._handle_directory,
+                    max_directory_connections,
+                ),
+                (
+                    "metrics",
+                    f"{settings.ip}:{self.metrics_port}",
+                    self._handle_metrics,
+                    MIN_CONNECTIONS,
+                ),
+            )
         ]
 
+    def _make_internal_listener(
+        self, name: str, address: str, handler: Handler, max_connections: int
+    ) -> Listener:
+        return Listener(
+            name=name,
+            address=address,
+            handler=handler,
+            budget=self.state.budget,
+            connection_limit=ConnectionLimit(kind=name, max_count=max_connections),
+            # Their requests are as small as a packet.
+            stalled_request_s=0.0,
+        )
+
     @property
     def metrics_address(self) -> str:
         """Address of the metrics endpoint."""
@@ -375,7 +387,13 @@
             metrics.memory_charged_bytes.set(budget.charged_bytes)
             metrics.memory_limit_bytes.set(budget.limit_bytes)
             metrics.memory_waiting.set(budget.waiting_count)
-            for limit in (self.state.client_limit, self.state.upstream_limit):
+            limits = [self.state.client_limit, self.state.upstream_limit]
+            limits += [
+                item.connection_limit
+                for item in self._internal_listeners
+                if item.connection_limit is not None
+            ]
+            for limit in limits:
                 metrics.connections.labels(limit.kind).set(limit.count)
                 metrics.connection_limits.labels(limit.kind).set(limit.max_count)
             metrics.serving_hosts.set(
--- a/lacewinglug/memory/limits.py
+++ b/lacewinglug/memory/limits.py
@@ -27,7 +27,7 @@
 """Part of the budget for each client connection, in bytes: its kernel may hold as much
 before the process can read it, whatever the budget says."""
 MIN_CONNECTIONS = 16
-"""Client connections and connections to runners that are always possible."""
+"""Connections of each kind that are always possible."""
 _BYTES_PER_MB = 1_000_000
 
 
@@ -54,8 +54,18 @@
 
     @property
     def max_internal_connections(self) -> int:
-        """Bound on the number of connections to the internal listeners."""
-        return max(MIN_CONNECTIONS, int(self.descriptors * INTERNAL_DESCRIPTOR_SHARE))
+        """Bound on the number of connections to the internal listeners together."""
+        return self.max_directory_connections + 2 * MIN_CONNECTIONS
+
+    @property
+    def max_directory_connections(self) -> int:
+        """Bound on the number of connections to the directory.
+
+        Those to the readiness check and to the metrics have bounds of their own, so
+        that callers of the directory cannot shut them out.
+        """
+        internal = int(self.descriptors * INTERNAL_DESCRIPTOR_SHARE)
+        return max(MIN_CONNECTIONS, internal - 2 * MIN_CONNECTIONS)
 
     @property
     def max_client_connections(self) -> int:
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -45,8 +45,8 @@
 UNPACED_CHUNKS = 4_096
 """Chunks of a body that are decoded without taking turns with other bodies."""
 STALLED_REQUEST_S = 1.0
-"""Time after its first byte from which an incomplete request may be closed for another
-connection when there are too many, in s; several round trips."""
+"""Default of the time after its first byte from which an incomplete request may be
+closed for another connection when there are too many, in s; several round trips."""
 DISCARD_TIMEOUT_S = 2.0
 """Time for which data of a rejected request is discarded before its connection is
 closed, in s; several round trips, in which clients read the response and close."""
@@ -152,6 +152,8 @@
         was received whole and its response is incomplete.
     :param budget: memory budget to which the connections charge what they hold.
     :param connection_limit: bound on the number of connections, None for none.
+    :param stalled_request_s: time after its first byte from which an incomplete request
+        may be closed for another connection when there are too many, in s.
     :param framing_turns: shared by the connections with much framing work.
     :param request_turns: shared by the connections with requests that were sent ahead.
     :param connections: open connections.
@@ -166,6 +168,7 @@
         default_factory=lambda: MemoryBudget(limit_bytes=_UNLIMITED_BYTES)
     )
     connection_limit: ConnectionLimit | None = None
+    stalled_request_s: float = STALLED_REQUEST_S
     framing_turns: FramingTurns = field(default_factory=FramingTurns)
     request_turns: RequestTurns = field(default_factory=RequestTurns)
     connections: set["ServerConnection"] = field(default_factory=set)
@@ -278,7 +281,8 @@
             return None
         if not self._request_active:
             return (1, since_s)
-        is_stalled = self._loop.time() - since_s >= STALLED_REQUEST_S
+        elapsed_s = self._loop.time() - since_s
+        is_stalled = elapsed_s >= self._registry.stalled_request_s
         return (2, since_s) if is_stalled else None
 
     @property
--- a/tests/memory/test_limits.py
+++ b/tests/memory/test_limits.py
@@ -3,7 +3,12 @@
 import pytest
 
 from lacewinglug.memory.descriptors import ConnectionLimit
-from lacewinglug.memory.limits import ACCEPT_BATCH, OWN_DESCRIPTORS, MachineLimits
+from lacewinglug.memory.limits import (
+    ACCEPT_BATCH,
+    MIN_CONNECTIONS,
+    OWN_DESCRIPTORS,
+    MachineLimits,
+)
 from tests.platform.scene import make_settings
 from tests.platform.test_settings import decode_settings, json
 
@@ -17,6 +22,15 @@
     assert total <= descriptors
 
 
+@pytest.mark.parametrize("descriptors", [256, 1_638, 8_192])
+def test_the_directory_leaves_connections_to_the_other_listeners(descriptors):
+    """Guards against listeners that share a bound."""
+    limits = MachineLimits(descriptors=descriptors)
+    left = limits.max_internal_connections - limits.max_directory_connections
+    assert left == 2 * MIN_CONNECTIONS
+    assert limits.max_directory_connections >= MIN_CONNECTIONS
+
+
 @pytest.mark.parametrize("memory_mb", [160, 552])
 def test_a_few_hundred_ordinary_requests_fit(memory_mb):
     """Guards against bounds that well-behaved clients meet."""
