Notice clients that leave while their connection is not read

A runner went on with the request of a client that had left, and the host kept what the client had sent, until the request's time was over, if the client had sent more than 128 KB ahead or memory was short. Crowds that leave early filled the budget that way.

The event loop sees neither the end nor the reset of a connection that it does not read from. While reading is paused, the host now asks the kernel for the connection's state every 0.25 s, and closes a connection whose client has left as it does otherwise.

--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -26,6 +26,7 @@
 from lacewinglug.wire.sockets import (
     CLIENT_TCP_TIMEOUTS,
     count_unread_bytes,
+    has_peer_left,
     set_transport_timeouts,
 )
 from lacewinglug.wire.turns import LoopTurn
@@ -47,6 +48,8 @@
 STALLED_REQUEST_S = 1.0
 """Default of the time after its first byte from which an incomplete request may be
 closed for another connection when there are too many, in s; several round trips."""
+DEPARTURE_CHECK_INTERVAL_S = 0.25
+"""Interval of checking whether a client has left while reading is paused, in s."""
 DISCARD_TIMEOUT_S = 2.0
 """Time for which data of a rejected request is discarded before its connection is
 closed, in s; several round trips, in which clients read the response and close."""
@@ -251,6 +254,7 @@
         self._end_reason: EndReason | None = None
         self._is_lost = False
         self._awaits_turn = False
+        self._departure_timer: asyncio.TimerHandle | None = None
         self._buffered_bytes = 0
         self._reading_paused = False
         self._discarding = False
@@ -391,6 +395,9 @@
     def _release(self) -> None:
         """Let go of what was received, once the connection and its task have ended."""
         self._account.close()
+        if self._departure_timer is not None:
+            self._departure_timer.cancel()
+            self._departure_timer = None
         self._decoder = None
         self._unanswered = None
 
@@ -452,6 +459,25 @@
         if not self._reading_paused and self._transport is not None:
             self._reading_paused = True
             self._transport.pause_reading()
+            if self._departure_timer is None:
+                self._schedule_departure_check()
+
+    def _schedule_departure_check(self) -> None:
+        self._departure_timer = self._loop.call_later(
+            DEPARTURE_CHECK_INTERVAL_S, self._check_departure
+        )
+
+    def _check_departure(self) -> None:
+        """Close the connection if its client has left while reading is paused."""
+        self._departure_timer = None
+        transport = self._transport
+        if not self._reading_paused or transport is None or transport.is_closing():
+            return
+        connection = transport.get_extra_info("socket")
+        if connection is not None and has_peer_left(connection):
+            self.abort(EndReason.CLIENT_CLOSED)
+        else:
+            self._schedule_departure_check()
 
     def _resume_reading(self) -> None:
         if self._reading_paused and self._transport is not None:
--- a/lacewinglug/wire/sockets.py
+++ b/lacewinglug/wire/sockets.py
@@ -13,6 +13,10 @@
 MS_PER_S = 1000
 _INT = struct.Struct("i")
 _ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
+_TCP_STATE_BYTES = 1
+"""Size of the state, which is the first field of Linux's ``struct tcp_info``."""
+_LEFT_STATES = frozenset((7, 8))
+"""``TCP_CLOSE`` and ``TCP_CLOSE_WAIT`` of ``include/net/tcp_states.h``."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -112,6 +116,22 @@
     return _read_int(connection, termios.TIOCOUTQ)
 
 
+def has_peer_left(connection: socket.socket) -> bool:
+    """Return whether the peer has closed or reset a connection.
+
+    The event loop sees neither while it does not read from the connection.
+
+    :returns: False also where the kernel does not tell.
+    """
+    try:
+        state = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_STATE_BYTES
+        )
+    except OSError:
+        return False
+    return bool(state) and state[0] in _LEFT_STATES
+
+
 def _read_int(connection: socket.socket, request: int) -> int | None:
     try:
         data = fcntl.ioctl(connection.fileno(), request, bytes(_INT.size))
