Close the least active incomplete request for a new connection

While incomplete requests that were younger than a second held all connections of a host, new connections of clients were reset, and a crowd that came again each second kept everybody out.

An incomplete request could be closed for a new connection only a second after its first byte. Now the one that has sent nothing for longest is closed, at any age, and only after refused and idle connections. A client that is sending is the last one in that order. The separate rule of the internal listeners is the same now and goes.

--- a/lacewinglug/host/listeners.py
+++ b/lacewinglug/host/listeners.py
@@ -13,7 +13,6 @@
 from lacewinglug.wire.messages import Request
 from lacewinglug.wire.server import (
     RECEIVE_BUFFER_BYTES,
-    STALLED_REQUEST_S,
     ClientLimits,
     ConnectionRegistry,
     EndReason,
@@ -38,8 +37,6 @@
         was received whole and its response is incomplete.
     :param budget: memory budget of the host, None for none.
     :param connection_limit: bound on the number of connections, None for none.
-    :param stalled_request_s: time after its first byte from which an incomplete request
-        may be closed for another connection, in s.
     :param registry: open connections.
     """
 
@@ -50,7 +47,6 @@
     on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     budget: MemoryBudget | None = None
     connection_limit: ConnectionLimit | None = None
-    stalled_request_s: float = STALLED_REQUEST_S
     registry: ConnectionRegistry = field(init=False)
     _server: asyncio.Server | None = None
 
@@ -60,7 +56,6 @@
             limits=self.limits,
             on_end=self.on_end,
             connection_limit=self.connection_limit,
-            stalled_request_s=self.stalled_request_s,
         )
         if self.budget is not None:
             self.registry.budget = self.budget
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -231,8 +231,6 @@
             handler=handler,
             budget=self.state.budget,
             connection_limit=ConnectionLimit(kind=name, max_count=max_connections),
-            # Their requests are as small as a packet.
-            stalled_request_s=0.0,
         )
 
     @property
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -45,9 +45,6 @@
 reading pauses counts as held memory."""
 UNPACED_CHUNKS = 4_096
 """Chunks of a body that are decoded without taking turns with other bodies."""
-STALLED_REQUEST_S = 1.0
-"""Default of the time after its first byte from which an incomplete request may be
-closed for another connection when there are too many, in s; several round trips."""
 DEPARTURE_CHECK_INTERVAL_S = 0.25
 """Interval of checking whether a client has left while reading is paused, in s."""
 DISCARD_TIMEOUT_S = 2.0
@@ -155,8 +152,6 @@
         was received whole and its response is incomplete.
     :param budget: memory budget to which the connections charge what they hold.
     :param connection_limit: bound on the number of connections, None for none.
-    :param stalled_request_s: time after its first byte from which an incomplete request
-        may be closed for another connection when there are too many, in s.
     :param framing_turns: shared by the connections with much framing work.
     :param request_turns: shared by the connections with requests that were sent ahead.
     :param connections: open connections.
@@ -171,7 +166,6 @@
         default_factory=lambda: MemoryBudget(limit_bytes=_UNLIMITED_BYTES)
     )
     connection_limit: ConnectionLimit | None = None
-    stalled_request_s: float = STALLED_REQUEST_S
     framing_turns: FramingTurns = field(default_factory=FramingTurns)
     request_turns: RequestTurns = field(default_factory=RequestTurns)
     connections: set["ServerConnection"] = field(default_factory=set)
@@ -248,6 +242,7 @@
         self._writable.set()
         self._loop = asyncio.get_running_loop()
         self._request_started_s = self._loop.time()
+        self._last_input_s = self._request_started_s
         self._request_active = False
         self._unanswered: Request | None = None
         self._method = b""
@@ -270,24 +265,20 @@
         """Return the order in which connections are closed for others.
 
         Those whose request was refused, or whose next request was sent ahead and waits
-        for its turn, come first, then idle ones, then those whose request is incomplete
-        for a while, each time the oldest one first.
+        for its turn, come first, then idle ones, each time the oldest one first, then
+        the incomplete request from which nothing has arrived for longest.
 
-        :returns: None if it may not be closed: a request is being handled, or has only
-            begun to arrive.
+        :returns: None if it may not be closed, as a request is being handled.
         """
         if self._transport is None or self._transport.is_closing():
             return None
-        since_s = self._request_started_s
         if self._discarding or self._evicted is not None or self._awaits_turn:
-            return (0, since_s)
+            return (0, self._request_started_s)
         if self._unanswered is not None:
             return None
         if not self._request_active:
-            return (1, since_s)
-        elapsed_s = self._loop.time() - since_s
-        is_stalled = elapsed_s >= self._registry.stalled_request_s
-        return (2, since_s) if is_stalled else None
+            return (1, self._request_started_s)
+        return (2, self._last_input_s)
 
     @property
     def has_active_request(self) -> bool:
@@ -347,9 +338,10 @@
         """Buffer data from the client; pause reading above the limit."""
         if self._discarding or self._evicted is not None:
             return
+        self._last_input_s = self._loop.time()
         if not self._request_active:
             self._request_active = True
-            self._request_started_s = self._loop.time()
+            self._request_started_s = self._last_input_s
             self._account.forget_progress()
             self._apply_limits()
         self._turn.begin()
