Return the memory of freed buffers from 64 KB on

After crowds of clients had left, a host kept 25 to 50 MB of heap that it no longer used, and the next crowd came on top of it: 63 and 85 MB of resident memory with nothing held, against 39 MB when idle.

Blocks under 256 KB were allocated on the heap, which shrinks only at its end. Most bodies, input buffers and reads (128 KB) lie between the two sizes, and blocks that live longer stand behind them. The largest mapping of the process after a crowd was its heap.

Blocks from 64 KB on are now mapped and returned when they are freed.

--- a/lacewinglug/memory/allocator.py
+++ b/lacewinglug/memory/allocator.py
@@ -3,7 +3,7 @@
 import contextlib
 import ctypes
 
-MMAP_THRESHOLD_BYTES = 262_144
+MMAP_THRESHOLD_BYTES = 65_536
 """Size from which blocks are mapped, so that freeing them returns their memory. The
 library otherwise raises it to the size of the largest block that was freed."""
 TRIM_THRESHOLD_BYTES = 1_048_576
