Refuse bodies that the internal listeners have no use for

Crowds at the readiness check, the directory or the metrics could hold bodies of 4 MB in part, and 64 KB of unread data for each connection in the kernel, with 512 more connections that waited to be accepted: 114 MB at the directory of a host of 100 MB.

The listeners had the limits of clients' calls, though their requests have no body. They now refuse a body of more than 16 KB with 413, by its announced length where there is one; the receive buffers of their connections have 8 KB, and up to 128 wait to be accepted.

--- a/lacewinglug/host/listeners.py
+++ b/lacewinglug/host/listeners.py
@@ -37,6 +37,9 @@
         was received whole and its response is incomplete.
     :param budget: memory budget of the host, None for none.
     :param connection_limit: bound on the number of connections, None for none.
+    :param backlog: bound on the number of connections that wait to be accepted.
+    :param receive_buffer_bytes: size of the kernel's receive buffer of a connection, in
+        bytes.
     :param registry: open connections.
     """
 
@@ -47,6 +50,8 @@
     on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     budget: MemoryBudget | None = None
     connection_limit: ConnectionLimit | None = None
+    backlog: int = LISTEN_BACKLOG
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
     registry: ConnectionRegistry = field(init=False)
     _server: asyncio.Server | None = None
 
@@ -73,14 +78,14 @@
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             # Connections inherit the size.
             listening.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
             )
             listening.bind((host, int(port)))
             # The event loop accepts as many connections at once as its backlog.
             self._server = await asyncio.get_running_loop().create_server(
                 self.registry.make_connection, sock=listening, backlog=ACCEPT_BATCH
             )
-            listening.listen(LISTEN_BACKLOG)
+            listening.listen(self.backlog)
         except (OSError, ValueError, OverflowError) as error:
             listening.close()
             raise UserError(
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -50,6 +50,13 @@
 DIRECTORY_TTL_S = 1.5
 """Cache lifetime of directory responses, in s. Some clients keep them three times
 as long; a host that shuts down accepts connections for about that time."""
+MAX_INTERNAL_BODY_BYTES = 16_384
+"""Maximum size of a request body at the readiness check, the directory and the metrics,
+which need none, in bytes."""
+INTERNAL_RECEIVE_BUFFER_BYTES = 8_192
+"""Size of the kernel's receive buffer of a connection there, in bytes."""
+INTERNAL_BACKLOG = 128
+"""Connections to each of them that may wait to be accepted."""
 MAINTENANCE_INTERVAL_S = 1.0
 """Interval of closing stale connections and updating gauges, in s."""
 SETTINGS_POLL_INTERVAL_S = 2.0
@@ -197,40 +204,38 @@
             budget=self.state.budget,
             connection_limit=self.state.client_limit,
         )
-        max_directory_connections = settings.machine.max_directory_connections
         self._internal_listeners = [
-            self._make_internal_listener(name, address, handler, max_connections)
-            for name, address, handler, max_connections in (
-                (
-                    "readiness",
-                    settings.ready_address,
-                    self._handle_readiness,
-                    MIN_CONNECTIONS,
-                ),
-                (
-                    "directory",
-                    settings.directory_address,
-                    self._handle_directory,
-                    max_directory_connections,
-                ),
-                (
-                    "metrics",
-                    f"{settings.ip}:{self.metrics_port}",
-                    self._handle_metrics,
-                    MIN_CONNECTIONS,
-                ),
-            )
+            self._make_internal_listener(
+                "readiness", settings.ready_address, self._handle_readiness
+            ),
+            self._make_internal_listener(
+                "directory",
+                settings.directory_address,
+                self._handle_directory,
+                max_connections=settings.machine.max_directory_connections,
+            ),
+            self._make_internal_listener(
+                "metrics", f"{settings.ip}:{self.metrics_port}", self._handle_metrics
+            ),
         ]
 
     def _make_internal_listener(
-        self, name: str, address: str, handler: Handler, max_connections: int
+        self,
+        name: str,
+        address: str,
+        handler: Handler,
+        *,
+        max_connections: int = MIN_CONNECTIONS,
     ) -> Listener:
         return Listener(
             name=name,
             address=address,
             handler=handler,
+            limits=lambda: ClientLimits(max_body_bytes=MAX_INTERNAL_BODY_BYTES),
             budget=self.state.budget,
             connection_limit=ConnectionLimit(kind=name, max_count=max_connections),
+            backlog=INTERNAL_BACKLOG,
+            receive_buffer_bytes=INTERNAL_RECEIVE_BUFFER_BYTES,
         )
 
     @property
