Bound what clients can hold by what an idle host leaves of its memory

Crowds that come one after another took a host of 100 MB to 103 to 131 MB, though each bound was kept: bodies and small chunks of clients that stop short, and different crowds in turn.

The budget was 35% of the machine's memory, whatever the process itself takes (39 MB). The connections that the memory allows for had as much again in the kernel, unread, and up to 512 more, each with 128 KB of unread data, waited to be accepted: 59 MB in a trace of the worst case. The sum was 139 MB on 100 MB and 215 MB on 160 MB.

On small machines the budget is now 0.42 of what an idle host leaves, and connections that wait to be accepted are a quarter of those that the memory allows for.

--- a/lacewinglug/host/listeners.py
+++ b/lacewinglug/host/listeners.py
@@ -9,7 +9,7 @@
 from lacewinglug.errors import UserError
 from lacewinglug.memory.budget import MemoryBudget
 from lacewinglug.memory.descriptors import ConnectionLimit
-from lacewinglug.memory.limits import ACCEPT_BATCH
+from lacewinglug.memory.limits import ACCEPT_BATCH, MAX_BACKLOG
 from lacewinglug.wire.messages import Request
 from lacewinglug.wire.server import (
     RECEIVE_BUFFER_BYTES,
@@ -21,9 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-LISTEN_BACKLOG = 512
-"""Listen backlog; covers a burst in which all clients connect at once."""
-
 
 @dataclass(kw_only=True)
 class Listener:
@@ -50,7 +47,7 @@
     on_end: Callable[[EndReason, Request | None], None] = lambda _reason, _request: None
     budget: MemoryBudget | None = None
     connection_limit: ConnectionLimit | None = None
-    backlog: int = LISTEN_BACKLOG
+    backlog: int = MAX_BACKLOG
     receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
     registry: ConnectionRegistry = field(init=False)
     _server: asyncio.Server | None = None
--- a/lacewinglug/host/process.py
+++ b/lacewinglug/host/process.py
@@ -203,6 +203,7 @@
             on_end=self._record_connection_end,
             budget=self.state.budget,
             connection_limit=self.state.client_limit,
+            backlog=settings.machine.client_backlog,
         )
         self._internal_listeners = [
             self._make_internal_listener(
--- a/tests/memory/test_limits.py
+++ b/tests/memory/test_limits.py
@@ -7,6 +7,8 @@
     ACCEPT_BATCH,
     MIN_CONNECTIONS,
     OWN_DESCRIPTORS,
+    OWN_MEMORY_MB,
+    UNREAD_CONNECTION_BYTES,
     MachineLimits,
 )
 from tests.platform.scene import make_settings
@@ -31,6 +33,18 @@
     assert limits.max_directory_connections >= MIN_CONNECTIONS
 
 
+@pytest.mark.parametrize("memory_mb", [100, 160, 300, 552])
+def test_what_clients_can_hold_fits_into_the_memory(memory_mb):
+    """Guards against shares that exceed what an idle host leaves of its machine."""
+    limits = MachineLimits(memory_mb=memory_mb, descriptors=100_000)
+    connections = limits.max_client_connections + limits.client_backlog
+    held_bytes = limits.budget_bytes + connections * UNREAD_CONNECTION_BYTES
+    room_bytes = (memory_mb - OWN_MEMORY_MB) * 1_000_000
+    # The allocator keeps some memory, too.
+    assert held_bytes <= 0.85 * room_bytes
+    assert limits.client_backlog >= 2 * ACCEPT_BATCH or memory_mb < 160
+
+
 @pytest.mark.parametrize("memory_mb", [160, 552])
 def test_a_few_hundred_ordinary_requests_fit(memory_mb):
     """Guards against bounds that well-behaved clients meet."""
