Forget connections that ended while memory was short

While other connections held the whole budget, those that waited to be read on and had ended stayed in memory, in no account, until there was room.

The budget keeps a function of each such connection that resumes its reading, and let go of it only when it called it. A connection that has ended now takes its function back.

tests/wire/test_release.py has a client that leaves while others hold the budget; it failed before and passes.

--- a/lacewinglug/memory/budget.py
+++ b/lacewinglug/memory/budget.py
@@ -233,6 +233,10 @@
         self._paused[resume] = None
         self._become_scarce()
 
+    def forget_paused(self, resume: Callable[[], None]) -> None:
+        """Don't resume reading; the connection has ended."""
+        self._paused.pop(resume, None)
+
     def _resume_reading(self) -> None:
         """Resume as many connections as the budget has room for a read of each."""
         room = (self.limit_bytes - self.charged_bytes) // READ_BYTES
--- a/lacewinglug/wire/server.py
+++ b/lacewinglug/wire/server.py
@@ -387,6 +387,7 @@
     def _release(self) -> None:
         """Let go of what was received, once the connection and its task have ended."""
         self._account.close()
+        self._registry.budget.forget_paused(self._resume_reading)
         if self._departure_timer is not None:
             self._departure_timer.cancel()
             self._departure_timer = None
--- a/tests/wire/test_release.py
+++ b/tests/wire/test_release.py
@@ -65,6 +65,23 @@
         assert found() is None
 
 
+async def test_a_client_that_leaves_while_memory_is_short_is_forgotten():
+    """Guards against connections that wait to be read and have ended."""
+    async with Server(answer_never) as server:
+        budget = server.registry.budget = MemoryBudget(limit_bytes=10_000_000)
+        _, writer = await server.open()
+        writer.write(INCOMPLETE)
+        await wait_until(lambda: server.registry.connections)
+        found = weakref.ref(next(iter(server.registry.connections)))
+        # Others hold the whole budget, and go on to do so.
+        budget.charged_bytes += budget.limit_bytes
+        await wait_until(lambda: found()._reading_paused)
+        writer.transport.abort()
+        await asyncio.wait_for(server.ends.get(), timeout=60)
+        await wait_until(lambda: not server.registry.tasks)
+        assert found() is None
+
+
 async def test_a_client_whose_responses_are_complete_is_forgotten():
     """Guards against cycles that only the end of the task leaves."""
     async with Server() as server:
